--- /dev/null
+++ b/hookwall/__main__.py
@@ -0,0 +1,6 @@
+import sys
+
+from hookwall.cli import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/hookwall/cli.py
@@ -0,0 +1,61 @@
+"""The command line. One command today; others of an operator's toolbox can stand beside it."""
+
+import argparse
+import logging
+import os
+import sys
+
+from hookwall import __version__
+from hookwall.settings import BadSettings, load
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def parser() -> argparse.ArgumentParser:
+    p = argparse.ArgumentParser(prog="hookwall", description="A cluster scheduler.")
+    p.add_argument("--version", action="version", version=f"hookwall {__version__}")
+    commands = p.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    serve = commands.add_parser("serve", help="run one controller node until it is killed")
+    serve.add_argument("--config", required=True, metavar="FILE", help="the platform's settings file (TOML)")
+    serve.set_defaults(run=run_serve)
+    return p
+
+
+def log_to_stderr(level: str) -> None:
+    if level not in LEVELS:
+        raise BadSettings(f"LOG_LEVEL: must be one of {', '.join(LEVELS)}, is {level!r}")
+    logging.basicConfig(
+        level=LEVELS[level], stream=sys.stderr, format="%(levelname).1s %(name)s: %(message)s", force=True
+    )
+    for noisy in ("asyncio", "aiohttp"):
+        logging.getLogger(noisy).setLevel(logging.ERROR)
+
+
+def run_serve(args: argparse.Namespace) -> int:
+    log_to_stderr(os.environ.get("LOG_LEVEL") or "error")
+    settings = load(args.config)
+    # Imported late: bad settings are told without waiting for the HTTP library.
+    import uvloop
+
+    from hookwall.node import Node
+
+    async def main() -> None:
+        await Node(settings).run()
+
+    try:
+        uvloop.run(main())
+    except KeyboardInterrupt:
+        return 130
+    except OSError as e:
+        print(f"hookwall: cannot listen: {e.strerror}", file=sys.stderr)
+        return 1
+    return 0
+
+
+def main(argv: list[str] | None = None) -> int:
+    args = parser().parse_args(argv)
+    try:
+        return args.run(args)
+    except BadSettings as e:
+        print(f"hookwall: {e}", file=sys.stderr)
+        return 2
--- /dev/null
+++ b/hookwall/fleet.py
@@ -0,0 +1,470 @@
+"""Machines as their workers report them, and the commands they get.
+
+The leader's picture of a machine is: what the records say may be on it (`entries`), and what its
+worker last said. A start leaves the records only when it was shown to be gone:
+
+- the worker reports it as exited, or
+- the worker is in a later tenure than the one in which the start was decided, or
+- a report that is newer than the launch, with our token, does not contain it, or
+- the cloud has confirmed the machine's deletion with a 200, or
+- no node can have answered the worker for longer than its lease, drift and a margin.
+"""
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+from enum import Enum
+
+from hookwall import wire
+from hookwall.jobs import OPEN, WITHDRAWN, Active, Job, JobTable
+from hookwall.settings import Params
+from hookwall.wire import Beat, Catalog, MachineType, Order
+
+log = logging.getLogger("hookwall.fleet")
+
+DRIFT = 0.002
+LEASE_MARGIN_S = 0.5
+MOST_ORDERS = 300
+STOP_AGAIN_S = 1.5
+
+
+class Names:
+    """Names become dense indices at the door."""
+
+    def __init__(self) -> None:
+        self.index: dict[str, int] = {}
+        self.names: list[str] = []
+
+    def of(self, name: str) -> int:
+        i = self.index.get(name)
+        if i is None:
+            i = self.index[name] = len(self.names)
+            self.names.append(name)
+        return i
+
+
+class Phase(Enum):
+    BOOTING = "booting"  # rented, its worker has not reported yet
+    UP = "up"
+    NOTICED = "noticed"  # the cloud will take it
+    SICK = "sick"  # fails its tasks; gets no more and is returned
+    DRAINING = "draining"  # to be returned once its tasks have saved
+    LEAVING = "leaving"  # a deletion was sent or is about to be
+    GONE = "gone"
+
+
+USABLE = (Phase.UP,)
+
+
+class Machine:
+    """One machine."""
+
+    __slots__ = (
+        "answered",
+        "entries",
+        "error_jobs",
+        "errors",
+        "expired",
+        "failed",
+        "full_until",
+        "good",
+        "held_for",
+        "idle_since",
+        "images",
+        "index",
+        "known_at",
+        "last_beat",
+        "listed_at",
+        "missing_since",
+        "name",
+        "notice_at",
+        "phase",
+        "rate",
+        "rented_at",
+        "silent",
+        "slow",
+        "spec_type",
+        "spot",
+        "strays",
+        "tenure",
+        "tick",
+        "token",
+        "type",
+        "up_at",
+        "zone",
+    )  # fmt: skip
+
+    def __init__(self, name: str, index: int, type_: int, zone: int, spot: bool, now: float) -> None:
+        self.name, self.index, self.type, self.zone, self.spot = name, index, type_, zone, spot
+        self.phase = Phase.BOOTING
+        self.known_at = self.rented_at = now
+        self.up_at = -1.0
+        self.tenure = 0
+        self.tick = -1
+        self.token = 0
+        self.last_beat = -1e9
+        self.answered = -1e9  # when a report was last answered by this leader
+        self.entries: dict[tuple[str, int], tuple[Job, Active]] = {}
+        self.strays: set[tuple[str, int]] = set()
+        self.images: OrderedDict[int, float] = OrderedDict()  # image -> GB, most recently used last
+        self.notice_at: float | None = None
+        self.errors = 0
+        self.error_jobs: set[str] = set()
+        self.good = 0
+        self.full_until = -1e9
+        self.listed_at = -1e9
+        self.missing_since: float | None = None
+        self.failed = False
+        self.idle_since = now
+        self.held_for = ""
+        self.slow = 0.0
+        self.expired = False
+        self.silent = False
+
+
+class Fleet:
+    """The leader's picture of all machines. A new leader starts with an empty one."""
+
+    def __init__(self, params: Params, table: JobTable, clock: Callable[[], float]) -> None:
+        self.params, self.table, self.clock = params, table, clock
+        self.types, self.zones, self.images, self.teams = Names(), Names(), Names(), Names()
+        for z in params.zones:
+            self.zones.of(z)
+        for t in params.teams:
+            self.teams.of(t.name)
+        self.catalog: Catalog | None = None
+        self.type_info: list[MachineType | None] = []
+        self.machines: dict[str, Machine] = {}
+        self.by_index: list[Machine] = []
+        self.began: float | None = None
+        self.token = 0
+        self.wake: Callable[[], None] = lambda: None
+        self.warm_hint: dict[str, list[tuple[str, float]]] = {}
+        lease = params.workers.lease_s
+        self.lease_gone = lease * (1 + DRIFT) + LEASE_MARGIN_S
+
+    # -- start of a leadership -----------------------------------------------------------------
+
+    def reset(self, token: int) -> None:
+        """Forget everything: a new leader believes records, lists and reports only."""
+        self.machines.clear()
+        self.by_index.clear()
+        self.began = None
+        self.token = token
+        for job in self.table.open.values():
+            self.adopt(job)
+
+    def begin(self, now: float) -> None:
+        """From now on no other node can answer a worker; leases are counted from here."""
+        if self.began is None:
+            self.began = now
+
+    def set_catalog(self, catalog: Catalog) -> None:
+        self.catalog = catalog
+        for t in catalog.types:
+            i = self.types.of(t.name)
+            while len(self.type_info) <= i:
+                self.type_info.append(None)
+            self.type_info[i] = t
+
+    def info(self, type_: int) -> MachineType | None:
+        return self.type_info[type_] if 0 <= type_ < len(self.type_info) else None
+
+    # -- machines ------------------------------------------------------------------------------
+
+    def become(self, m: Machine, phase: Phase, why: str) -> None:
+        """The one function for every change of a machine's phase."""
+        if m.phase is phase:
+            return
+        log.info("machine %s %s -> %s: %s", m.name, m.phase.value, phase.value, why)
+        m.phase = phase
+        self.wake()
+
+    def machine(self, name: str, type_: str, zone: str, spot: bool) -> Machine:
+        """The machine of this name, new if nobody has named it before."""
+        m = self.machines.get(name)
+        if m is None:
+            m = Machine(name, len(self.by_index), self.types.of(type_), self.zones.of(zone), spot, self.clock())
+            self.machines[name] = m
+            self.by_index.append(m)
+        elif type_:
+            m.type, m.zone, m.spot = self.types.of(type_), self.zones.of(zone), spot
+        return m
+
+    def adopt(self, job: Job) -> None:
+        """Fill in a job's indices, and tie its starts to their machines."""
+        spec = job.spec
+        if spec is None:
+            return
+        job.image = self.images.of(spec.image)
+        job.team = self.teams.of(spec.team)
+        job.rank = wire.RANKS.index(spec.rank)
+        job.types = None if spec.types is None else frozenset(self.types.of(t) for t in spec.types)
+        job.zone = -1 if spec.zone is None else self.zones.of(spec.zone)
+        for a in job.active.values():
+            m = self.machine(a.machine, "", "", False)
+            m.entries[(job.ref, a.task)] = (job, a)
+
+    def retake(self, job: Job) -> None:
+        """A job's record was replaced by somebody else's write: tie it anew."""
+        for m in self.machines.values():
+            stale = [k for k in m.entries if k[0] == job.ref]
+            for k in stale:
+                del m.entries[k]
+        self.adopt(job)
+        self.wake()
+
+    def put(self, job: Job, task: int, m: Machine, attempt: int, now: float) -> Active:
+        """A decision to start a task; nothing is sent before it is stored."""
+        a = Active(task, m.name, m.tenure, attempt, now)
+        job.active[task] = a
+        job.dirty = True
+        m.entries[(job.ref, task)] = (job, a)
+        return a
+
+    def drop(self, job: Job, a: Active, why: str) -> None:
+        """A start is shown to be gone."""
+        m = self.machines.get(a.machine)
+        if m is not None:
+            m.entries.pop((job.ref, a.task), None)
+            if not m.entries:
+                m.idle_since = self.clock()
+        if job.active.get(a.task) is a:
+            job.remove(a.task)
+        if why != "done":
+            log.debug("%s/%d attempt %d left %s: %s", job.ref, a.task, a.attempt, a.machine, why)
+        self.wake()
+
+    def drop_all(self, m: Machine, why: str) -> None:
+        """All starts on a machine are shown to be gone."""
+        for job, a in list(m.entries.values()):
+            self.drop(job, a, why)
+        m.strays.clear()
+
+    def gone(self, m: Machine, why: str) -> None:
+        """The cloud has confirmed that the machine is no more."""
+        self.drop_all(m, why)
+        self.become(m, Phase.GONE, why)
+        self.machines.pop(m.name, None)
+
+    # -- images --------------------------------------------------------------------------------
+
+    def _has_image(self, m: Machine, image: int, gb: float) -> None:
+        m.images.pop(image, None)
+        m.images[image] = gb
+        info = self.info(m.type)
+        if info is not None and info.cache_gb > 0:
+            while len(m.images) > 1 and sum(m.images.values()) > info.cache_gb:
+                m.images.popitem(last=False)
+
+    # -- reports -------------------------------------------------------------------------------
+
+    def report(self, b: Beat) -> list[Order] | None:
+        """Take in a report and decide the answer's commands. None: too old to be answered."""
+        now = self.clock()
+        m = self.machine(b.machine, b.type, b.zone, b.spot)
+        if (b.tenure, b.tick) <= (m.tenure, m.tick):
+            return None
+        if m.phase is Phase.BOOTING:
+            m.up_at = now
+            self._warm_from_hint(m)
+            self.become(m, Phase.UP, f"reports after {now - m.known_at:.1f} s")
+        if m.silent:
+            log.info("machine %s reports again", m.name)
+            m.silent = False
+        if b.tenure > m.tenure:
+            for job, a in list(m.entries.values()):
+                if a.tenure < b.tenure:
+                    self.drop(job, a, "a later tenure")
+        m.tenure, m.tick, m.token = b.tenure, b.tick, max(m.token, b.token)
+        m.last_beat = m.answered = now
+        m.expired = False
+        m.missing_since = None
+        if b.notice_s is not None and m.notice_at is None:
+            m.notice_at = now + b.notice_s
+            if m.phase in (Phase.UP, Phase.SICK, Phase.DRAINING):
+                self.become(m, Phase.NOTICED, f"taken in {b.notice_s:.1f} s")
+        orders: list[Order] = []
+        seen: set[tuple[str, int]] = set()
+        strays: set[tuple[str, int]] = set()
+        for t in b.tasks:
+            parts = wire.split_task(t.piece)
+            if parts is None:
+                continue
+            if self._reported(m, parts, t, orders, strays, now):
+                seen.add(parts)
+        m.strays = strays
+        current = b.token == self.token
+        for key, (job, a) in list(m.entries.items()):
+            if key not in seen:
+                self._absent(m, job, a, b.tick, current, orders, now)
+        if m.phase is Phase.NOTICED:
+            self._leave(m, now)
+        return orders[:MOST_ORDERS]
+
+    def _reported(
+        self,
+        m: Machine,
+        key: tuple[str, int],
+        t: wire.TaskReport,
+        orders: list[Order],
+        strays: set[tuple[str, int]],
+        now: float,
+    ) -> bool:
+        """One task of a report. False if the worker knows nothing of the task once it has the answer."""
+        entry = m.entries.get(key)
+        mine = entry is not None and entry[1].attempt == t.attempt
+        if t.phase == "exited":
+            if mine:
+                self._exited(m, *entry, t.cause or "", t.saved)
+            job = self.table.jobs.get(key[0])
+            if job is None or job.stored_on.get(key[1]) != (m.name, t.attempt):
+                # Only once the record no longer names this start: a leader that forgot it would
+                # otherwise launch the same attempt again.
+                orders.append(wire.forget(t.piece, t.attempt))
+                return mine
+            return True
+        if not mine:
+            strays.add(key)
+            orders.append(wire.stop(t.piece, t.attempt, 0.0))
+            return True
+        job, a = entry
+        if t.phase != a.phase:
+            a.phase = t.phase
+            if t.phase in ("waiting", "running") and job.spec is not None:
+                self._has_image(m, job.image, job.spec.image_gb)
+            if t.phase == "running":
+                a.running_since = now
+            self.wake()
+        if job.phase == WITHDRAWN:
+            orders.append(wire.stop(t.piece, t.attempt, 0.0))
+        elif a.stop_grace is not None and now - a.stop_sent > STOP_AGAIN_S and t.phase != "saving":
+            a.stop_sent = now
+            orders.append(wire.stop(t.piece, t.attempt, a.stop_grace))
+        return True
+
+    def _absent(
+        self, m: Machine, job: Job, a: Active, tick: int, current: bool, orders: list[Order], now: float
+    ) -> None:
+        """A start that the records name and the report does not."""
+        wanted = job.phase == OPEN and a.stop_grace is None and not a.finished
+        if not wanted or m.phase is not Phase.UP:
+            # The report answers none of our launches and the worker drops older leaders' answers.
+            if current:
+                self.drop(job, a, "not there")
+            return
+        if job.stored_on.get(a.task) != (m.name, a.attempt):
+            return
+        if a.tenure != m.tenure:
+            self.drop(job, a, "another tenure")
+            return
+        if a.phase and current:
+            # It was reported before and is not now, without having exited: it can't be there.
+            self.drop(job, a, "vanished")
+            return
+        a.sent_tick = tick
+        orders.append(wire.launch(job.ref, a.task, a.attempt))
+
+    def _exited(self, m: Machine, job: Job, a: Active, cause: str, saved: bool) -> None:
+        if cause == "done":
+            m.good += 1
+            m.errors = 0
+            m.error_jobs.clear()
+            if job.spec is not None:
+                self._has_image(m, job.image, job.spec.image_gb)
+                if job.spec.gang:
+                    # A gang's tasks complete together.
+                    for task in range(job.tasks):
+                        job.mark_done(task)
+                    for other in job.active.values():
+                        other.finished = True
+            job.mark_done(a.task)
+        elif cause == "error":
+            self._error(m, job)
+        elif cause == "full":
+            m.full_until = self.clock() + 4.0
+        elif cause == "no_such":
+            job.not_before = self.clock() + 5.0
+        if cause not in ("done", "halted") and job.phase == OPEN:
+            log.info("%s/%d attempt %d on %s ended: %s", job.ref, a.task, a.attempt, m.name, cause)
+        self.drop(job, a, cause)
+
+    def _error(self, m: Machine, job: Job) -> None:
+        """A task failed: either the machine is faulty, or the job fails wherever it runs."""
+        now = self.clock()
+        job.errors[m.name] = job.errors.get(m.name, 0) + 1
+        elsewhere = len(job.errors)
+        if elsewhere >= 3:
+            # Three machines have failed it; more tries cost others their machines.
+            job.not_before = now + min(60.0, 2.0 ** min(elsewhere, 6))
+            return
+        m.errors += 1
+        m.error_jobs.add(job.ref)
+        if m.phase is Phase.UP and (len(m.error_jobs) >= 2 or m.errors >= 2):
+            self.become(m, Phase.SICK, f"{m.errors} errors in a row")
+
+    def _leave(self, m: Machine, now: float) -> None:
+        """The machine will be taken: stop what can save, in time to save."""
+        for job, a in m.entries.values():
+            spec = job.spec
+            if spec is None or a.stop_grace is not None or spec.checkpoint_s <= 0:
+                continue
+            self.stop(job, a, spec.save_s + 0.5, "spot notice")
+
+    def stop(self, job: Job, a: Active, grace: float, why: str) -> None:
+        """Ask for an orderly stop; of a gang, all tasks are told."""
+        if a.stop_grace is not None:
+            return
+        many = job.active.values() if job.spec is not None and job.spec.gang else (a,)
+        for x in many:
+            if x.stop_grace is None:
+                x.stop_grace, x.stop_why = grace, why
+        log.debug("%s/%d on %s is to stop: %s", job.ref, a.task, a.machine, why)
+
+    # -- time ----------------------------------------------------------------------------------
+
+    def expire(self, now: float) -> None:
+        """Machines whose worker can't have a lease any more have no tasks."""
+        if self.began is None:
+            return
+        for m in list(self.machines.values()):
+            heard = max(m.answered, self.began)
+            if not m.silent and m.up_at >= 0 and now - m.last_beat > self.params.workers.report_s * 3:
+                m.silent = True
+                log.info("machine %s is silent", m.name)
+                self.wake()
+            if m.entries and now - heard > self.lease_gone:
+                log.info("machine %s: lease is over, %d tasks gone", m.name, len(m.entries))
+                self.drop_all(m, "the lease is over")
+            if now - heard > self.lease_gone:
+                m.expired = True
+
+    def usable(self, m: Machine, now: float) -> bool:
+        """Whether new tasks may be placed here."""
+        return (
+            m.phase in USABLE
+            and not m.silent
+            and m.tenure > 0
+            and not m.strays
+            and now >= m.full_until
+            and self.info(m.type) is not None
+        )
+
+    # -- what the peers keep for the next leader ------------------------------------------------
+
+    def hint(self) -> dict:
+        """Which images each machine has, for the next leader's tie-breaks. Never a matter of rules."""
+        names = self.images.names
+        return {m.name: [[names[i], gb] for i, gb in m.images.items()] for m in self.machines.values() if m.images}
+
+    def take_hint(self, hint: object) -> None:
+        if isinstance(hint, dict):
+            self.warm_hint = hint
+
+    def _warm_from_hint(self, m: Machine) -> None:
+        for item in self.warm_hint.get(m.name, ()):
+            try:
+                name, gb = item
+                m.images[self.images.of(str(name))] = float(gb)
+            except (TypeError, ValueError):
+                return
--- /dev/null
+++ b/hookwall/leadership.py
@@ -0,0 +1,344 @@
+"""Who may command: one leader, fenced twice.
+
+First fence: a key attached to a hold in the state service. The stamp of that key is the token, so
+tokens only rise, and each write of the leader is conditional on it. Second fence: promises. A node
+that promised its support to one leader supports no other for PROMISE_S. A leader is valid only while
+a majority has promised, counted from when it *sent* the request, and while its hold can't have
+ended. So a leader that is cut off falls silent within PROMISE_S and can be replaced, while an outage
+of the state service, which nobody can use to take over, does not end a leadership.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from enum import Enum
+
+from hookwall import store as st
+from hookwall.peers import Peer
+from hookwall.store import Conflict, Refused, Store, Unknown
+
+log = logging.getLogger("hookwall.leadership")
+
+PROMISE_S = 5.0
+VOTE_S = 1.5
+PING_S = 1.0
+HOLD_S = 60.0
+DRIFT = 0.002  # twice the drift between two clocks, and some more
+SLACK_S = 0.05  # timers fire in steps
+
+
+class Role(Enum):
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LOADING = "loading"
+    LEADER = "leader"
+
+
+class Promise:
+    """What this node has promised. In memory only: see `guarded` for what a restart may do."""
+
+    def __init__(self, me: str, clock: Callable[[], float]) -> None:
+        self.me, self.clock = me, clock
+        self.started = clock()
+        self.holder = ""
+        self.until = -1e9
+        self.token = 0
+        # The leader key as read after this process started: (node, stamp); stamp 0: no key.
+        self.seen_key: tuple[str, int] | None = None
+
+    def guarded(self) -> bool:
+        """A promise given before a restart is forgotten, so for its length none may be contradicted."""
+        return self.clock() < self.started + PROMISE_S * (1 + DRIFT) + SLACK_S
+
+    def free_for(self, node: str) -> bool:
+        return self.holder == node or self.clock() >= self.until
+
+    def renew(self, node: str, token: int) -> bool:
+        """A leader asks for support for its token."""
+        if token < self.token or not self.free_for(node):
+            return False
+        if self.guarded() and self.holder != node and (self.seen_key is None or self.seen_key[1] != token):
+            return False
+        self.holder, self.token = node, token
+        self.until = self.clock() + PROMISE_S
+        return True
+
+    def vote(self, node: str) -> bool:
+        """A candidate asks for support before it writes the leader key."""
+        if not self.free_for(node):
+            return False
+        if self.guarded() and self.holder != node:
+            # A key that is gone means that no leader's hold is valid; a key that names the
+            # candidate means that the leader it names was an earlier process of that node.
+            key = self.seen_key
+            if key is None or (key[1] != 0 and key[0] != node):
+                return False
+        self.holder = node
+        self.until = max(self.until, self.clock() + VOTE_S)
+        return True
+
+    def release(self, node: str, token: int) -> None:
+        """The holder gives its support back. A late copy must not undo a newer promise, hence the token."""
+        if self.holder == node and token >= self.token:
+            self.until = -1e9
+
+
+class Leadership:
+    """The state machine of one node's part in leading."""
+
+    def __init__(
+        self,
+        me: str,
+        size: int,
+        peers: list[Peer],
+        store: Store,
+        clock: Callable[[], float],
+        load: Callable[[], Awaitable[None]],
+        on_change: Callable[[Role], None],
+    ) -> None:
+        self.me, self.peers, self.store, self.clock = me, peers, store, clock
+        self.incarnation = random.SystemRandom().getrandbits(48)
+        self.majority = size // 2 + 1
+        self.promise = Promise(me, clock)
+        self.load, self.on_change = load, on_change
+        self.role = Role.FOLLOWER
+        self.token = 0
+        self.hold: int | None = None
+        self.hold_until = -1e9
+        self.acks: dict[str, float] = {}
+        self.since = -1e9
+        self.key_node = ""
+        self.key_stamp = 0
+        self.key_known = False
+        self.peer_state_ok: dict[str, float] = {}
+        self.peer_beats: dict[str, tuple[float, int]] = {}
+        self.beats_seen = 0  # reports that reached this node lately, whoever leads
+        self.last_beat = -1e9
+        self.hint: Callable[[], object] = lambda: None
+        self.on_hint: Callable[[object], None] = lambda _: None
+        self.rank = sorted([me, *[p.name for p in peers]]).index(me)
+        self.next_try = 0.0
+
+    # -- what others ask ---------------------------------------------------------------------
+
+    def valid(self) -> bool:
+        """Whether this node may command at this moment."""
+        return self.role is Role.LEADER and self.clock() < self.valid_until()
+
+    def valid_until(self) -> float:
+        sent = sorted(self.acks.values(), reverse=True)
+        need = self.majority - 1  # this node's own promise is in `self.promise`
+        promised = 1e18 if need == 0 else (sent[need - 1] if len(sent) >= need else -1e9) + PROMISE_S * (1 - DRIFT)
+        return min(promised, self.hold_until) - SLACK_S
+
+    def leader_name(self) -> str | None:
+        """Who leads, as far as this node knows."""
+        if self.valid():
+            return self.me
+        if self.promise.holder != self.me and self.clock() < self.promise.until and self.promise.token:
+            return self.promise.holder
+        return None
+
+    def state_ok_elsewhere(self) -> bool:
+        """Whether a peer has lately said that the state service answers it."""
+        return any(self.clock() - t < 3.0 for t in self.peer_state_ok.values())
+
+    # -- changes of state --------------------------------------------------------------------
+
+    def _become(self, role: Role, why: str) -> None:
+        """The one function for every change of role."""
+        if role is self.role:
+            return
+        log.info("%s -> %s (%s), token %d", self.role.value, role.value, why, self.token)
+        self.role = role
+        if role is Role.LEADER:
+            self.since = self.clock()
+        self.on_change(role)
+
+    def step_down(self, why: str) -> None:
+        """Stop commanding. The hold is left alone: the key's stamp fences what is in flight."""
+        if self.role is Role.FOLLOWER:
+            return
+        self.acks.clear()
+        self.promise.release(self.me, self.promise.token)
+        self.next_try = self.clock() + 1.0
+        self._become(Role.FOLLOWER, why)
+
+    def saw_key(self, node: str, stamp: int) -> None:
+        """The leader key as the state service has it (from a read or the watch)."""
+        if stamp and stamp < self.key_stamp:
+            return
+        self.key_node, self.key_stamp, self.key_known = node, stamp, True
+        self.promise.seen_key = (node, stamp)
+        if stamp and node != self.me:
+            self.promise.token = max(self.promise.token, stamp)
+        if self.role in (Role.LEADER, Role.LOADING) and stamp != self.token:
+            self.step_down("the leader key has changed")
+
+    # -- messages ----------------------------------------------------------------------------
+
+    def handle(self, m: dict) -> dict:
+        """Answer a peer."""
+        kind, node = m.get("t"), m.get("n")
+        if not isinstance(node, str) or node == self.me:
+            return {"ok": False}
+        if m.get("sok"):
+            self.peer_state_ok[node] = self.clock()
+        elif "sok" in m:
+            self.peer_state_ok.pop(node, None)
+        ok = False
+        if kind == "ping":
+            token = m.get("tok")
+            if isinstance(token, int) and token > 0:
+                ok = self.promise.renew(node, token)
+                if ok and m.get("hint") is not None:
+                    self.on_hint(m["hint"])
+                if token > self.token and self.role in (Role.LEADER, Role.LOADING) and ok:
+                    self.step_down("a peer leads with a newer token")
+        elif kind == "vote":
+            ok = self.role not in (Role.LEADER, Role.LOADING) and self.promise.vote(node)
+        elif kind == "release":
+            token = m.get("tok")
+            if isinstance(token, int):
+                self.promise.release(node, token)
+            if m.get("resign") == self.me:
+                self.next_try = 0.0
+            ok = True
+        beats = self.beats_seen if self.clock() - self.last_beat < 3.0 else 0
+        return {"ok": ok, "sok": self.store.healthy(), "top": self.promise.token, "beats": beats}
+
+    def _note(self, peer: Peer, answer: dict) -> None:
+        if answer.get("sok"):
+            self.peer_state_ok[peer.name] = self.clock()
+        else:
+            self.peer_state_ok.pop(peer.name, None)
+        if isinstance(answer.get("beats"), int):
+            self.peer_beats[peer.name] = (self.clock(), answer["beats"])
+
+    async def _ping(self, peer: Peer) -> None:
+        leading = self.role in (Role.LEADER, Role.LOADING)
+        token = self.token if leading else 0
+        sent = self.clock()
+        message = {"t": "ping", "n": self.me, "tok": token, "sok": self.store.healthy()}
+        if leading:
+            message["hint"] = self.hint()
+        answer = await peer.call(message, timeout=1.5)
+        if answer is None:
+            return
+        self._note(peer, answer)
+        if token and token == self.token and self.role in (Role.LEADER, Role.LOADING):
+            if answer.get("ok"):
+                self.acks[peer.name] = max(sent, self.acks.get(peer.name, -1e9))
+            elif isinstance(answer.get("top"), int) and answer["top"] > token:
+                self.step_down(f"{peer.name} knows a newer token")
+
+    async def ping_loop(self) -> None:
+        while True:
+            for peer in self.peers:
+                asyncio.get_running_loop().create_task(self._ping(peer))
+            if self.role in (Role.LEADER, Role.LOADING) and not self.promise.renew(self.me, self.token):
+                self.step_down("own promise is with another node")
+            await asyncio.sleep(PING_S)
+
+    # -- becoming and staying leader ---------------------------------------------------------
+
+    def _may_campaign(self) -> bool:
+        now = self.clock()
+        if now < self.next_try or not self.key_known or not self.store.healthy():
+            return False
+        if self.key_stamp == 0:
+            return self.promise.free_for(self.me)
+        if self.key_node == self.me:
+            # An earlier process of this node, or a leadership given up: nobody else holds the key.
+            return self.promise.free_for(self.me)
+        return self.promise.free_for(self.me) and not self.promise.guarded()
+
+    async def _campaign(self) -> None:
+        self._become(Role.CANDIDATE, "no valid leader is known")
+        won = False
+        try:
+            got = await self.store.get(st.LEADER)
+            value, stamp = got if got is not None else ({}, 0)
+            self.saw_key(str(value.get("node", "")) if isinstance(value, dict) else "", stamp)
+            if not self.promise.vote(self.me):
+                return
+            answers = await asyncio.gather(
+                *(p.call({"t": "vote", "n": self.me, "sok": True}, timeout=0.7) for p in self.peers)
+            )
+            votes = 1 + sum(1 for a in answers if a is not None and a.get("ok"))
+            for peer, a in zip(self.peers, answers, strict=True):
+                if a is not None:
+                    self._note(peer, a)
+            if votes < self.majority:
+                log.debug("campaign: %d votes", votes)
+                return
+            sent = self.clock()
+            hold = await self.store.hold(HOLD_S)
+            record = {"node": self.me, "incarnation": self.incarnation}
+            token = await self.store.commit([(st.LEADER, stamp)], [(st.LEADER, record)], hold=hold)
+            self.hold, self.hold_until = hold, sent + HOLD_S * (1 - DRIFT)
+            self.token = token
+            self.acks.clear()
+            self.saw_key(self.me, token)
+            self.promise.renew(self.me, token)
+            self._become(Role.LOADING, f"{votes} votes")
+            await asyncio.gather(*(self._ping(p) for p in self.peers))
+            await self.load()
+            if self.role is Role.LOADING:
+                won = True
+                self._become(Role.LEADER, "the picture is rebuilt")
+        except Conflict:
+            log.debug("campaign: another node was faster")
+        except (Refused, Unknown) as e:
+            log.debug("campaign: %s", e)
+        finally:
+            if not won:
+                self.next_try = self.clock() + 0.3 + 0.3 * self.rank + random.random() * 0.4
+                if self.role is Role.CANDIDATE:
+                    self.promise.release(self.me, self.promise.token)
+                    self._become(Role.FOLLOWER, "campaign failed")
+                else:
+                    self.step_down("could not load")
+
+    async def resign(self, to: str, why: str) -> None:
+        """Stop commanding first, then say so, so that the successor need not wait for a promise."""
+        self.step_down(f"resigns: {why}")
+        self.next_try = self.clock() + 4.0
+        message = {"t": "release", "n": self.me, "tok": self.token, "resign": to}
+        for p in self.peers:
+            asyncio.get_running_loop().create_task(p.call(message))
+
+    async def run(self, machines_expected: Callable[[], bool]) -> None:
+        """Campaign when nobody leads; renew the hold and look after the own fitness while leading."""
+        last_extend = -1e9
+        await asyncio.sleep(0.2 * self.rank)
+        while True:
+            await asyncio.sleep(0.2)
+            now = self.clock()
+            if self.role is Role.FOLLOWER:
+                if self._may_campaign():
+                    await self._campaign()
+                    last_extend = self.clock()
+                continue
+            if self.role is not Role.LEADER:
+                continue
+            if now - last_extend >= 5.0 and self.hold is not None:
+                last_extend = now
+                try:
+                    if await self.store.extend(self.hold):
+                        self.hold_until = now + HOLD_S * (1 - DRIFT)
+                    else:
+                        self.step_down("the hold has ended")
+                except (Refused, Unknown):
+                    last_extend = now - 4.0
+            bad = self.store.bad_since
+            if bad is not None and now - bad > 2.5:
+                fit = [n for n, t in self.peer_state_ok.items() if now - t < 1.6]
+                if fit:
+                    await self.resign(min(fit), "only this node lacks the state service")
+                    continue
+            if machines_expected() and now - self.last_beat > 4.0 and now - self.since > 4.0:
+                fit = [n for n, (t, k) in self.peer_beats.items() if now - t < 1.6 and k > 0]
+                if fit:
+                    await self.resign(min(fit), "no worker reaches this node")
--- /dev/null
+++ b/hookwall/node.py
@@ -0,0 +1,302 @@
+"""One controller node: the slices put together, and the loops that drive them."""
+
+import asyncio
+import logging
+import time
+from typing import Any
+
+import msgspec
+
+from hookwall import peers, server, wire
+from hookwall import store as st
+from hookwall.cloud import CloudClient, Renting
+from hookwall.fleet import Fleet
+from hookwall.jobs import Job, JobTable, UserApi
+from hookwall.leadership import Leadership, Role
+from hookwall.peers import Peer
+from hookwall.scheduler import Scheduler
+from hookwall.settings import Settings, address
+from hookwall.store import Confirmer, Conflict, Refused, Store, TooOld, Unknown
+from hookwall.wire import BadMessage, Catalog
+
+log = logging.getLogger("hookwall.node")
+
+ROUND_EVERY_S = 0.5
+ROUND_GAP_S = 0.1
+WRITE_GAP_S = 0.05
+BATCH_BYTES = 56 * 1024
+
+
+class Node:
+    """All slices of one process."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        params = settings.settings
+        clock = time.monotonic
+        self.clock = clock
+        self.store = Store(settings.external.state, params.state, params.size, clock)
+        self.table = JobTable(clock)
+        self.confirmer = Confirmer(self.store, self._refresh)
+        self.api = UserApi(params, self.table, self.store, self.confirmer)
+        self.fleet = Fleet(params, self.table, clock)
+        self.scheduler = Scheduler(params, self.table, self.fleet, clock)
+        self.scheduler.dirty_count = lambda: len(self._dirty())
+        self.client = CloudClient(settings.external.cloud, params.cloud.rps, clock)
+        self.renting = Renting(params, self.fleet, self.scheduler, self.client, clock)
+        self.renting.on_catalog = self._catalog
+        self.leadership = Leadership(
+            settings.node_name, params.size, [Peer(s) for s in settings.seeds], self.store, clock,
+            self._load, self._role,
+        )  # fmt: skip
+        self.leadership.hint = self.fleet.hint
+        self.leadership.on_hint = self.fleet.take_hint
+        self.table.on_taken = self._taken
+        self.loaded = False
+        self.wake = asyncio.Event()
+        self.write_wake = asyncio.Event()
+        self.fleet.wake = self.wake.set
+        self.epoch = 0
+
+    # -- the state service ---------------------------------------------------------------------
+
+    async def _refresh(self, key: str) -> None:
+        await self.api.refresh(key)
+
+    def _take_key(self, key: str, value: Any, stamp: int) -> None:
+        if key.startswith(st.JOBS):
+            self.table.apply(key, value, stamp)
+        elif key == st.LEADER:
+            if stamp >= self.leadership.key_stamp:
+                self.leadership.saw_key(str(value.get("node", "")) if isinstance(value, dict) else "", stamp)
+        elif key == st.CATALOG and not self.leadership.valid():
+            try:
+                self._set_catalog(wire.convert(value, Catalog))
+            except BadMessage as e:
+                log.error("stored catalog is malformed: %s", e)
+
+    def _set_catalog(self, catalog: Catalog) -> None:
+        self.api.catalog = catalog
+        self.fleet.set_catalog(catalog)
+
+    async def _read_all(self) -> None:
+        """Read every key; the watch goes on from there."""
+        found, epoch = await self.store.scan(st.ROOT)
+        leader = False
+        for key, value, stamp in found:
+            leader = leader or key == st.LEADER
+            self._take_key(key, value, stamp)
+        if not leader and self.leadership.key_stamp <= epoch:
+            self.leadership.saw_key("", 0)
+        self.epoch = epoch
+        self.loaded = True
+
+    async def _load(self) -> None:
+        """A new leader's picture starts from the records as they are after its key was written."""
+        for job in self.table.jobs.values():
+            if job.spec is not None or not job.final():
+                # What an earlier leadership of this process decided and did not store is void.
+                job.stamp, job.parked, job.writing, job.dirty = 0, None, False, False
+        found, _ = await self.store.scan(st.ROOT)
+        for key, value, stamp in found:
+            if key != st.LEADER:
+                self._take_key(key, value, stamp)
+        self.fleet.reset(self.leadership.token)
+        self.scheduler.waiting.clear()
+        self.renting.reset()
+
+    async def watch_loop(self) -> None:
+        """Learn of every change; a batch at a time, so that frequent changes cost few requests."""
+        while True:
+            try:
+                if not self.loaded:
+                    await self._read_all()
+                    log.info("read %d jobs", len(self.table.jobs))
+                events, self.epoch = await self.store.changes(self.epoch, 10.0)
+                for e in events:
+                    stamp = e.get("stamp")
+                    if not isinstance(stamp, int):
+                        continue
+                    if isinstance(e.get("set"), str):
+                        self._take_key(e["set"], e.get("value"), stamp)
+                    elif e.get("delete") == st.LEADER and stamp > self.leadership.key_stamp:
+                        self.leadership.saw_key("", 0)
+                await asyncio.sleep(0.1 if self.leadership.role is Role.LEADER else 0.25)
+            except TooOld:
+                self.loaded = False
+            except (Refused, Unknown) as e:
+                log.debug("watch: %s", e)
+                await asyncio.sleep(0.4)
+
+    def _taken(self, job: Job) -> None:
+        if self.leadership.role is Role.LEADER:
+            self.fleet.retake(job)
+        self.wake.set()
+
+    async def _catalog(self, catalog: Catalog) -> None:
+        """The leader has asked the cloud; the other nodes learn the machine types from the store."""
+        old = self.api.catalog
+        self._set_catalog(catalog)
+        shape = [(t.name, t.cpus, t.gpus, t.memory, t.zones) for t in catalog.types]
+        if old is not None and shape == [(t.name, t.cpus, t.gpus, t.memory, t.zones) for t in old.types]:
+            return
+        try:
+            await self.store.commit([(st.LEADER, self.leadership.token)], [(st.CATALOG, msgspec.to_builtins(catalog))])
+        except (Conflict, Refused, Unknown) as e:
+            log.info("could not store the catalog: %s", type(e).__name__)
+            self.api.catalog = old
+
+    # -- writing -------------------------------------------------------------------------------
+
+    def _dirty(self) -> list[Job]:
+        return [j for j in self.table.open.values() if j.dirty and not j.writing]
+
+    async def write_loop(self) -> None:
+        """Store decisions: many jobs in one conditional write, each conditional on its own stamp too."""
+        while True:
+            await asyncio.sleep(WRITE_GAP_S)
+            jobs = self._dirty() if self.leadership.valid() else []
+            if not jobs:
+                self.write_wake.clear()
+                try:
+                    async with asyncio.timeout(0.5):
+                        await self.write_wake.wait()
+                except TimeoutError:
+                    pass
+                continue
+            jobs.sort(key=lambda j: (j.rank, j.at))
+            await self._write(jobs)
+
+    async def _write(self, jobs: list[Job]) -> None:
+        token = self.leadership.token
+        batch: list[tuple[Job, dict, dict[int, tuple[str, int]], str, int]] = []
+        size = 200
+        for job in jobs[: self.settings.settings.state.txn_ops]:
+            record = job.record()
+            n = len(msgspec.json.encode(record)) + 200
+            if batch and size + n > BATCH_BYTES:
+                break
+            size += n
+            on = {a.task: (a.machine, a.attempt) for a in job.active.values()}
+            batch.append((job, record, on, job.phase, job.n_done))
+            job.dirty, job.writing = False, True
+        when = [(st.LEADER, token), *((st.JOBS + j.ref, j.stamp) for j, *_ in batch)]
+        put = [(st.JOBS + j.ref, r) for j, r, *_ in batch]
+        stamp = 0
+        conflict: list[str] = []
+        try:
+            stamp = await self.store.commit(when, put)
+        except Conflict as c:
+            conflict = c.failed
+        except (Refused, Unknown) as e:
+            log.debug("write of %d jobs: %s", len(batch), e)
+        same = self.leadership.token == token and self.leadership.role is Role.LEADER
+        for job, _, on, phase, done in batch:
+            job.writing = False
+            if not same:
+                continue
+            if stamp:
+                job.stored(stamp, on, phase, done)
+                if job.final() and phase != "open":
+                    log.info("%s is %s", job.ref, phase)
+                self.table.note(job)
+            else:
+                job.dirty = True
+            if job.parked is not None:
+                value, at = job.parked
+                job.parked = None
+                self.table.apply(st.JOBS + job.ref, value, at)
+        if not same:
+            return
+        if st.LEADER in conflict:
+            self.leadership.step_down("a write was refused: the leader key has changed")
+            return
+        for key in conflict:
+            try:
+                await self._refresh(key)
+            except (Refused, Unknown) as e:
+                log.debug("refresh of %s: %s", key, e)
+        if stamp:
+            self.wake.set()
+        elif not conflict:
+            await asyncio.sleep(0.2)
+
+    # -- leading -------------------------------------------------------------------------------
+
+    def _role(self, role: Role) -> None:
+        self.wake.set()
+
+    def beat(self, body: bytes) -> tuple[int, bytes]:
+        """A worker's report."""
+        try:
+            b = wire.decode_beat(body)
+        except BadMessage as e:
+            log.info("malformed report: %s", e)
+            return 400, b'{"error":"malformed"}'
+        lead = self.leadership
+        lead.beats_seen += 1
+        lead.last_beat = self.clock()
+        if not lead.valid():
+            if lead.role is Role.LEADER or lead.role is Role.LOADING:
+                return 503, b"{}"
+            name = lead.leader_name()
+            return 421, msgspec.json.encode({"overseer": name} if name and name != lead.me else {})
+        self.fleet.begin(self.clock())
+        orders = self.fleet.report(b)
+        if orders is None:
+            return 503, b"{}"
+        self.write_wake.set()
+        return 200, msgspec.json.encode(wire.BeatAnswer(lead.token, orders))
+
+    def up(self) -> bool:
+        """Healthy while this node can serve users, or while no other node could either."""
+        return self.loaded and (self.store.healthy() or not self.leadership.state_ok_elsewhere())
+
+    async def round_loop(self) -> None:
+        """Rounds of decisions while this node leads."""
+        while True:
+            try:
+                async with asyncio.timeout(ROUND_EVERY_S):
+                    await self.wake.wait()
+            except TimeoutError:
+                pass
+            await asyncio.sleep(ROUND_GAP_S)
+            self.wake.clear()
+            if not self.leadership.valid():
+                continue
+            try:
+                self.fleet.begin(self.clock())
+                self.fleet.expire(self.clock())
+                if self.fleet.catalog is not None and self.scheduler.round():
+                    self.wake.set()
+                self.write_wake.set()
+            except Exception:
+                log.exception("round failed")
+
+    async def _keep(self, name: str, loop: Any) -> None:
+        """A loop that ends by an error starts again: a node must not half-live."""
+        while True:
+            try:
+                await loop()
+            except Exception:
+                log.exception("%s failed", name)
+                await asyncio.sleep(0.5)
+
+    async def run(self) -> None:
+        await self.store.open()
+        await self.client.open()
+        await peers.listen(self.settings.peer_listen, self.leadership.handle)
+        host, port = address(self.settings.public_addr, "public_addr")
+        await server.listen(server.Door(self.api, self.beat, self.up), host, port)
+        log.info("%s listens", self.settings.node_name)
+        lead = self.leadership
+        loops = {
+            "watch": self.watch_loop,
+            "confirm": self.confirmer.run,
+            "write": self.write_loop,
+            "round": self.round_loop,
+            "ping": lead.ping_loop,
+            "lead": lambda: lead.run(lambda: bool(self.fleet.machines)),
+            "rent": lambda: self.renting.run(lead.valid, lambda: lead.token),
+        }
+        await asyncio.gather(*(self._keep(n, f) for n, f in loops.items()))
--- /dev/null
+++ b/hookwall/placement.py
@@ -0,0 +1,205 @@
+"""Placement as a pure function: heterogeneity-aware scheduling (HAS) after the Frenzy paper.
+
+Each job takes the first shape of its ranked list that free GPUs can serve. Then best fit: the
+fitting machine with fewest idle GPUs takes all that remains; where none holds the whole remainder,
+the machine with most idle GPUs gives what it has and the loop repeats. See docs/design.md for what
+was added (CPUs, memory, zones, kinds) and why.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+EPS = 1e-6
+
+
+@dataclass(slots=True)
+class Room:
+    """What is free on one machine. `warm` holds the images that it has."""
+
+    index: int
+    type: int
+    zone: int
+    spot: bool
+    cpus: float
+    gpus: float
+    memory: float
+    price: float = 0.0
+    penalty: float = 0.0
+    warm: frozenset[int] | set[int] = frozenset()
+
+
+@dataclass(slots=True)
+class Ask:
+    """What one job wants now. `in_zone` counts its tasks that may already be somewhere."""
+
+    count: int
+    total: int
+    gang: bool
+    cpus: float
+    gpus: float
+    memory: float
+    image: int = -1
+    types: frozenset[int] | None = None
+    zone: int = -1
+    one_zone: bool = False
+    spread: bool = False
+    spot: bool = False
+    service: bool = False
+    in_zone: dict[int, int] = field(default_factory=dict)
+
+
+def units(ask: Ask, room: Room) -> int:
+    """How many of the job's tasks fit into the room."""
+    n = ask.count
+    if ask.gpus > 0:
+        n = min(n, int((room.gpus + EPS) / ask.gpus))
+    if ask.cpus > 0:
+        n = min(n, int((room.cpus + EPS) / ask.cpus))
+    if ask.memory > 0:
+        n = min(n, int((room.memory + EPS) / ask.memory))
+    return max(n, 0)
+
+
+def allowed(ask: Ask, room: Room) -> bool:
+    """Whether the job's own conditions admit the machine."""
+    return (
+        (ask.types is None or room.type in ask.types)
+        and (ask.zone < 0 or room.zone == ask.zone)
+        and (ask.spot or not room.spot)
+    )
+
+
+def idle(ask: Ask, room: Room) -> float:
+    """Idle GPUs; tasks without GPUs count CPUs instead."""
+    return room.gpus if ask.gpus > 0 else room.cpus
+
+
+def _tie(ask: Ask, room: Room) -> tuple[object, ...]:
+    """Among equally idle machines: image there, kind that others can't use, steadier, cheaper."""
+    wasted = ask.spot and not room.spot
+    return (ask.image not in room.warm, wasted, room.penalty, room.price, room.index)
+
+
+def _caps(ask: Ask) -> tuple[int, dict[int, int]]:
+    """For `spread`: how many tasks one zone may hold, and how many more each zone used so far may."""
+    top = (ask.total + 1) // 2
+    return top, {z: top - n for z, n in ask.in_zone.items()}
+
+
+def _fit(ask: Ask, rooms: Sequence[Room], whole: bool) -> list[tuple[int, int]]:
+    """HAS over one set of machines. `whole`: all tasks or none."""
+    left = ask.count
+    caps = _caps(ask) if ask.spread else None
+    pool = [(room, units(ask, room)) for room in rooms]
+    pool = [(room, n) for room, n in pool if n > 0]
+    result: list[tuple[int, int]] = []
+    while left > 0 and pool:
+        best: tuple[object, ...] | None = None
+        best_at, take = -1, 0
+        most: tuple[object, ...] | None = None
+        most_at, most_take = -1, 0
+        for at, (room, n) in enumerate(pool):
+            if caps is not None:
+                n = min(n, caps[1].get(room.zone, caps[0]))
+                if n <= 0:
+                    continue
+            tie = _tie(ask, room)
+            free = idle(ask, room)
+            if n >= left:
+                key = (free, *tie)
+                if best is None or key < best:
+                    best, best_at, take = key, at, left
+            key = (-n, -free, *tie)
+            if most is None or key < most:
+                most, most_at, most_take = key, at, n
+        if best_at < 0:
+            best_at, take = most_at, most_take
+        if best_at < 0:
+            break
+        room, _ = pool.pop(best_at)
+        result.append((room.index, take))
+        left -= take
+        if caps is not None:
+            caps[1][room.zone] = caps[1].get(room.zone, caps[0]) - take
+    return [] if whole and left > 0 else result
+
+
+def _zones(ask: Ask, rooms: Sequence[Room], whole: bool) -> list[tuple[int, int]]:
+    """One zone at a time where the job must stay in one; the fullest answer, then the tightest."""
+    if not ask.one_zone:
+        return _fit(ask, rooms, whole)
+    held = [z for z, n in ask.in_zone.items() if n > 0]
+    if len(held) > 1:
+        return []
+    best: tuple[tuple[object, ...], list[tuple[int, int]]] | None = None
+    for zone in sorted({r.zone for r in rooms}):
+        if held and zone != held[0]:
+            continue
+        here = [r for r in rooms if r.zone == zone]
+        got = _fit(ask, here, whole)
+        if not got:
+            continue
+        by_index = {r.index: r for r in here}
+        used = [by_index[i] for i, _ in got]
+        key = (
+            -sum(n for _, n in got),
+            len(got),
+            sum(idle(ask, r) for r in used),
+            sum(ask.image not in r.warm for r in used),
+            zone,
+        )
+        if best is None or key < best[0]:
+            best = (key, got)
+    return best[1] if best else []
+
+
+def _singly(ask: Ask, rooms: Sequence[Room]) -> list[tuple[int, int]]:
+    """Service replicas: one at a time, to the tightest machine in their least-used zone."""
+    used = dict(ask.in_zone)
+    free = {r.index: units(ask, r) for r in rooms}
+    taken: dict[int, int] = {}
+    top = (ask.total + 1) // 2 if ask.spread else ask.total
+    for _ in range(ask.count):
+        held = [z for z, n in used.items() if n > 0]
+        best: tuple[tuple[object, ...], Room] | None = None
+        for r in rooms:
+            n = used.get(r.zone, 0)
+            if free[r.index] <= 0 or n >= top or (ask.one_zone and held and r.zone not in held):
+                continue
+            left = idle(ask, r) - taken.get(r.index, 0) * (ask.gpus or ask.cpus)
+            key = (n, left, *_tie(ask, r))
+            if best is None or key < best[0]:
+                best = (key, r)
+        if best is None:
+            break
+        r = best[1]
+        free[r.index] -= 1
+        taken[r.index] = taken.get(r.index, 0) + 1
+        used[r.zone] = used.get(r.zone, 0) + 1
+    return list(taken.items())
+
+
+def place(ask: Ask, rooms: Sequence[Room]) -> list[tuple[int, int]]:
+    """Where the job's tasks go now: pairs of machine and number of tasks.
+
+    The ranked shapes are: machines that have the image and are of the cheap kind if the job may use
+    it; machines that have the image; any. A gang takes a shape only if it serves all tasks; an array
+    takes the first shape that serves all, and else as many as fit anywhere.
+    """
+    fit = [r for r in rooms if allowed(ask, r)]
+    if not fit or ask.count <= 0:
+        return []
+    if ask.service:
+        return _singly(ask, fit)
+    warm = [r for r in fit if ask.image in r.warm]
+    if ask.spot:
+        cheap = [r for r in warm if r.spot]
+        if cheap and len(cheap) < len(warm):
+            got = _zones(ask, cheap, whole=True)
+            if got:
+                return got
+    if warm and len(warm) < len(fit):
+        got = _zones(ask, warm, whole=True)
+        if got:
+            return got
+    return _zones(ask, fit, whole=ask.gang)
--- /dev/null
+++ b/hookwall/scheduler.py
@@ -0,0 +1,439 @@
+"""Rounds of decisions: which waiting job goes where, and who has to make room.
+
+A round has a time budget. Jobs are taken in order (within a guarantee, rank, arrival); a round that
+runs out of time goes on, the next time, with the job at which it stopped.
+"""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from hookwall.fleet import Fleet, Machine
+from hookwall.jobs import DONE, OPEN, Active, Job, JobTable
+from hookwall.placement import Ask, Room, place, units
+from hookwall.settings import Params
+
+log = logging.getLogger("hookwall.scheduler")
+
+ROUND_BUDGET_S = 0.03
+MOST_DIRTY = 60
+HOLD_AFTER_S = 1.0
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A job that a round could not serve in full: what the cloud slice rents for."""
+
+    job: Job
+    count: int
+    since: float
+
+
+@dataclass(slots=True)
+class Usage:
+    """What a team's tasks may be using now, and what all its unfinished jobs want."""
+
+    cpus: float = 0.0
+    gpus: float = 0.0
+
+
+@dataclass(slots=True)
+class Picture:
+    """One round's view of what is free."""
+
+    rooms: dict[int, Room] = field(default_factory=dict)
+    usage: dict[int, Usage] = field(default_factory=dict)
+    held: dict[int, str] = field(default_factory=dict)
+
+
+class Scheduler:
+    """The leader's decisions about tasks. It changes jobs and fleet in memory; the writer stores."""
+
+    def __init__(self, params: Params, table: JobTable, fleet: Fleet, clock: Callable[[], float]) -> None:
+        self.params, self.table, self.fleet, self.clock = params, table, fleet, clock
+        self.limits = [params.teams[i] for i in range(len(params.teams))]
+        self.resume: tuple | None = None
+        self.waiting: dict[str, Waiting] = {}
+        self.dirty_count: Callable[[], int] = lambda: 0
+        self.value_bytes = params.state.value_kb * 1024
+
+    # -- the picture ---------------------------------------------------------------------------
+
+    def picture(self, now: float) -> Picture:
+        """Free room on each usable machine, and what each team may be using."""
+        p = Picture()
+        fleet = self.fleet
+        for m in fleet.machines.values():
+            if m.held_for and not self._still_waits(m.held_for):
+                m.held_for = ""
+            if not fleet.usable(m, now):
+                continue
+            p.rooms[m.index] = self.room(m)
+            if m.held_for:
+                p.held[m.index] = m.held_for
+        for job in self.table.open.values():
+            if job.spec is None or not job.active:
+                continue
+            u = p.usage.setdefault(job.team, Usage())
+            u.cpus += job.spec.cpus * len(job.active)
+            u.gpus += job.spec.gpus * len(job.active)
+        return p
+
+    def room(self, m: Machine) -> Room:
+        info = self.fleet.info(m.type)
+        assert info is not None
+        cpus, gpus, memory = info.cpus, info.gpus, info.memory
+        warm = set(m.images)
+        for job, _ in m.entries.values():
+            spec = job.spec
+            if spec is not None:
+                cpus -= spec.cpus
+                gpus -= spec.gpus
+                memory -= spec.memory
+                warm.add(job.image)  # being fetched: one fetch serves all tasks that wait for it
+        price = info.spot_price if m.spot else info.price
+        return Room(m.index, m.type, m.zone, m.spot, cpus, gpus, memory, price, m.slow + m.errors, warm)
+
+    def _still_waits(self, ref: str) -> bool:
+        job = self.table.open.get(ref)
+        return job is not None and job.phase == OPEN and ref in self.waiting
+
+    def guaranteed(self) -> set[str]:
+        """Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs."""
+        out: set[str] = set()
+        want: dict[int, Usage] = {}
+        for job in sorted(self.table.open.values(), key=lambda j: (j.at, j.ref)):
+            if job.phase != OPEN or job.spec is None or not 0 <= job.team < len(self.limits):
+                continue
+            team = self.limits[job.team]
+            u = want.setdefault(job.team, Usage())
+            u.cpus += job.spec.cpus * job.tasks
+            u.gpus += job.spec.gpus * job.tasks
+            if (team.gpus or team.cpus) and (
+                (not team.gpus or u.gpus <= team.gpus + 1e-9) and (not team.cpus or u.cpus <= team.cpus + 1e-9)
+            ):
+                out.add(job.ref)
+        return out
+
+    def quota(self, job: Job, p: Picture) -> int:
+        """How many more tasks of the job its team's limit admits."""
+        if not 0 <= job.team < len(self.limits):
+            return 0
+        team, u, spec = self.limits[job.team], p.usage.get(job.team) or Usage(), job.spec
+        assert spec is not None
+        n = job.tasks
+        if team.gpus_max and spec.gpus > 0:
+            n = min(n, int((team.gpus_max - u.gpus + 1e-6) / spec.gpus))
+        if team.cpus_max and spec.cpus > 0:
+            n = min(n, int((team.cpus_max - u.cpus + 1e-6) / spec.cpus))
+        return max(0, n)
+
+    # -- a round -------------------------------------------------------------------------------
+
+    def round(self) -> bool:
+        """Decide what can be decided now. True if the round ran out of time."""
+        now = self.clock()
+        self._tidy(now)
+        firm = self.guaranteed()
+        queue: list[tuple[tuple, Job]] = []
+        for job in self.table.open.values():
+            if job.phase != OPEN or job.spec is None or now < job.not_before:
+                continue
+            if not job.pending(1) or (job.spec.gang and job.active):
+                self.waiting.pop(job.ref, None)
+                continue
+            queue.append(((job.ref not in firm, job.rank, job.at, job.ref), job))
+        queue.sort(key=lambda q: q[0])
+        for ref in [r for r in self.waiting if r not in self.table.open]:
+            del self.waiting[ref]
+        if not queue:
+            self.resume = None
+            return False
+        start = 0
+        if self.resume is not None:
+            start = next((i for i, q in enumerate(queue) if q[0] >= self.resume), 0)
+        p = self.picture(now)
+        self.resume = None
+        for i in range(start, len(queue)):
+            key, job = queue[i]
+            if i > start and self.clock() - now > ROUND_BUDGET_S:
+                self.resume = key
+                log.debug("round out of time after %d of %d jobs", i - start, len(queue))
+                return True
+            if self.dirty_count() > MOST_DIRTY:
+                self.resume = key
+                return True
+            self._serve(job, p, job.ref in firm, now)
+        return start > 0
+
+    def _tidy(self, now: float) -> None:
+        """Finish jobs whose tasks are all done; end what is left of broken gangs."""
+        for job in list(self.table.open.values()):
+            if job.phase == OPEN and job.spec is not None and job.tasks and job.n_done >= job.tasks:
+                job.phase = DONE
+                job.dirty = True
+            broken = job.spec is not None and job.spec.gang and 0 < len(job.active) < job.tasks
+            if job.phase == OPEN and broken and not job.n_done:
+                for a in job.active.values():
+                    self.fleet.stop(job, a, 0.0, "its gang is incomplete")
+
+    def ask(self, job: Job, count: int) -> Ask:
+        spec = job.spec
+        assert spec is not None
+        in_zone: dict[int, int] = {}
+        if spec.one_zone or spec.spread or spec.service:
+            for a in job.active.values():
+                m = self.fleet.machines.get(a.machine)
+                zone = m.zone if m is not None else -1
+                in_zone[zone] = in_zone.get(zone, 0) + 1
+        return Ask(
+            count, job.tasks, spec.gang, spec.cpus, spec.gpus, spec.memory, job.image, job.types, job.zone,
+            spec.one_zone, spec.spread, spec.spot, spec.service, in_zone,
+        )  # fmt: skip
+
+    def _serve(self, job: Job, p: Picture, firm: bool, now: float) -> None:
+        spec = job.spec
+        assert spec is not None
+        count = job.tasks if spec.gang else min(job.n_pending(), self._widest(job))
+        allowed = self.quota(job, p)
+        if allowed < (count if spec.gang else 1):
+            self.waiting.pop(job.ref, None)  # room would not help: it waits for its own team
+            return
+        count = min(count, allowed)
+        ask = self.ask(job, count)
+        rooms = [
+            r for i, r in p.rooms.items()
+            if p.held.get(i, job.ref) == job.ref and job.errors.get(self.fleet.by_index[i].name, 0) < 2
+        ]  # fmt: skip
+        got = place(ask, rooms)
+        placed = sum(n for _, n in got)
+        if placed:
+            tasks = job.pending(placed)
+            attempt = job.next_attempt
+            job.next_attempt += 1
+            at = 0
+            for index, n in got:
+                m = self.fleet.by_index[index]
+                for task in tasks[at : at + n]:
+                    self.fleet.put(job, task, m, attempt, now)
+                at += n
+                self._take(p.rooms[index], job, n)
+                if m.held_for == job.ref:
+                    m.held_for = ""
+                    p.held.pop(index, None)
+            u = p.usage.setdefault(job.team, Usage())
+            u.cpus += spec.cpus * placed
+            u.gpus += spec.gpus * placed
+            log.debug(
+                "%s: %d of %d tasks placed on %s", job.ref, placed, count,
+                ",".join(f"{self.fleet.by_index[i].name}*{n}" for i, n in got),
+            )  # fmt: skip
+        left = count - placed
+        if left <= 0:
+            self.waiting.pop(job.ref, None)
+            return
+        w = self.waiting.get(job.ref)
+        if w is None:
+            w = self.waiting[job.ref] = Waiting(job, left, now)
+        w.count = left
+        missing = self._preempt(job, p, left, firm, now)
+        if spec.gang and missing > 0 and now - w.since > HOLD_AFTER_S:
+            self._reserve(job, ask, p)
+
+    def _widest(self, job: Job) -> int:
+        """How many more starts the job's record can name: a value has a limit, and ranges are short."""
+        room = self.value_bytes * 0.75 - 700 - 40 * len({a.machine for a in job.active.values()})
+        return max(0, int(room / 14) - len(job.active))
+
+    def _take(self, room: Room, job: Job, n: int) -> None:
+        spec = job.spec
+        assert spec is not None
+        room.cpus -= spec.cpus * n
+        room.gpus -= spec.gpus * n
+        room.memory -= spec.memory * n
+        room.warm = {*room.warm, job.image}
+
+    def _reserve(self, job: Job, ask: Ask, p: Picture) -> None:
+        """Keep later jobs off the machines that a waiting gang will get first.
+
+        Without this, small tasks of later jobs take each GPU that is freed, and a gang that needs
+        whole machines never starts.
+        """
+        left = ask.count
+        fit = [
+            r for i, r in p.rooms.items()
+            if i not in p.held and (ask.types is None or r.type in ask.types)
+            and (ask.zone < 0 or r.zone == ask.zone) and (ask.spot or not r.spot)
+        ]  # fmt: skip
+        if ask.one_zone and fit:
+            by_zone: dict[int, list[Room]] = {}
+            for r in fit:
+                by_zone.setdefault(r.zone, []).append(r)
+            fit = max(by_zone.values(), key=lambda rs: sum(sorted((r.gpus for r in rs), reverse=True)[:left]))
+        fit.sort(key=lambda r: (-r.gpus, -r.cpus, r.index))
+        for r in fit:
+            if left <= 0:
+                return
+            p.held[r.index] = job.ref
+            left -= max(1, units(ask, r))
+
+    # -- making room ---------------------------------------------------------------------------
+
+    def _may_stop(self, job: Job, firm: bool, other: Job, beyond: dict[int, Usage]) -> bool:
+        """PROTOCOL, "Preemption": lower priority, or beyond the guarantee of another team."""
+        if other is job or other.phase != OPEN or other.spec is None:
+            return False
+        if other.rank > job.rank and not (firm is False and self._is_firm(other, beyond)):
+            return True
+        if not firm or other.team == job.team:
+            return False
+        return not self._is_firm(other, beyond)
+
+    def _is_firm(self, other: Job, beyond: dict[int, Usage]) -> bool:
+        """Whether stopping one of its tasks would cut into its team's guarantee."""
+        u = beyond.get(other.team)
+        return u is None or (u.gpus <= 1e-6 and u.cpus <= 1e-6)
+
+    def _beyond(self, p: Picture) -> dict[int, Usage]:
+        """What each team uses beyond its guarantee."""
+        out: dict[int, Usage] = {}
+        for i, team in enumerate(self.limits):
+            u = p.usage.get(i) or Usage()
+            out[i] = Usage(max(0.0, u.cpus - team.cpus), max(0.0, u.gpus - team.gpus))
+            if team.gpus and not team.cpus:
+                out[i].cpus = 0.0
+        return out
+
+    def _preempt(self, job: Job, p: Picture, left: int, firm: bool, now: float) -> int:
+        """Stop what may be stopped so that the job's tasks fit. Returns how many still have no room."""
+        spec = job.spec
+        assert spec is not None
+        ask = self.ask(job, left)
+        holding = [i for i, ref in p.held.items() if ref == job.ref]
+        for i in holding:
+            left -= max(1, self._units_if(ask, i, lambda a, o: a.stop_grace is not None))
+        if left <= 0:
+            return 0
+        beyond = self._beyond(p)
+        zones = {p.rooms[i].zone for i in holding if i in p.rooms}
+        options: list[tuple[tuple, int, int, list[tuple[Job, Active]]]] = []
+        for index, room in p.rooms.items():
+            m = self.fleet.by_index[index]
+            if index in p.held or (ask.types is not None and room.type not in ask.types):
+                continue
+            if (ask.zone >= 0 and room.zone != ask.zone) or (room.spot and not ask.spot):
+                continue
+            if ask.one_zone and zones and room.zone not in zones:
+                continue
+            victims = [
+                (o, a) for o, a in m.entries.values()
+                if a.stop_grace is None and not a.finished and self._may_stop(job, firm, o, beyond)
+            ]  # fmt: skip
+            if not victims:
+                continue
+            chosen, n = self._victims(ask, room, victims, left, now)
+            if n <= 0:
+                continue
+            cold = job.image not in room.warm
+            cost = sum(self._loss(o, a, now) for o, a in chosen) / n
+            options.append(((cold, cost, index), index, n, chosen))
+        options.sort(key=lambda o: o[0])
+        if ask.one_zone and spec.gang:
+            zone_n: dict[int, int] = {}
+            for _, index, n, _ in options:
+                z = p.rooms[index].zone
+                zone_n[z] = zone_n.get(z, 0) + n
+            free = {z: 0 for z in zone_n}
+            for index, room in p.rooms.items():
+                if room.zone in free and index not in p.held:
+                    free[room.zone] += units(ask, room)
+            good = [z for z, n in zone_n.items() if n + free[z] >= left]
+            if not good:
+                return left
+            first = next(p.rooms[o[1]].zone for o in options if p.rooms[o[1]].zone in good)
+            options = [o for o in options if p.rooms[o[1]].zone == first]
+            left -= min(left, free[first])
+        elif spec.gang and sum(o[2] for o in options) < left:
+            return left
+        for _, index, n, chosen in options:
+            if left <= 0:
+                break
+            m = self.fleet.by_index[index]
+            if not self._charge(job, chosen, beyond):
+                continue
+            for o, a in chosen:
+                assert o.spec is not None
+                grace = o.spec.save_s + 0.5 if o.spec.checkpoint_s > 0 else 0.0
+                self.fleet.stop(o, a, grace, f"room for {job.ref}")
+            m.held_for = job.ref
+            p.held[index] = job.ref
+            left -= n
+        return left
+
+    def _charge(self, job: Job, chosen: list[tuple[Job, Active]], beyond: dict[int, Usage]) -> bool:
+        """Book what other teams give back. False, and nothing booked, if it is more than they borrowed."""
+        back: dict[int, Usage] = {}
+        for o, _ in chosen:
+            assert o.spec is not None
+            if o.rank <= job.rank:
+                u = back.setdefault(o.team, Usage())
+                u.gpus += o.spec.gpus
+                u.cpus += o.spec.cpus
+        for team, u in back.items():
+            have = beyond.get(team)
+            if have is not None and (u.gpus > have.gpus + 1e-6 or (u.gpus == 0 and u.cpus > have.cpus + 1e-6)):
+                return False
+        for team, u in back.items():
+            if team in beyond:
+                beyond[team].gpus -= u.gpus
+                beyond[team].cpus -= u.cpus
+        return True
+
+    def _units_if(self, ask: Ask, index: int, leaves: Callable[[Active, Job], bool]) -> int:
+        """How many tasks fit once some of the machine's starts are gone."""
+        m = self.fleet.by_index[index]
+        room = self.room(m)
+        for o, a in m.entries.values():
+            if o.spec is not None and leaves(a, o):
+                room.cpus += o.spec.cpus
+                room.gpus += o.spec.gpus
+                room.memory += o.spec.memory
+        return units(ask, room)
+
+    def _loss(self, job: Job, a: Active, now: float) -> float:
+        """What stopping a start costs: work that is repeated, or the save."""
+        spec = job.spec
+        if spec is None:
+            return 0.0
+        if a.running_since < 0:
+            return 1.0
+        if spec.checkpoint_s <= 0:
+            return 5.0 + (now - a.running_since)
+        return 1.0 + spec.save_s
+
+    def _victims(
+        self, ask: Ask, room: Room, victims: list[tuple[Job, Active]], want: int, now: float
+    ) -> tuple[list[tuple[Job, Active]], int]:
+        """The cheapest of the candidates that make room for at least one task."""
+        victims = sorted(victims, key=lambda v: (-v[0].rank, self._loss(*v, now), -v[1].since))
+        trial = Room(room.index, room.type, room.zone, room.spot, room.cpus, room.gpus, room.memory)
+        had = units(ask, trial)
+        chosen: list[tuple[Job, Active]] = []
+        best, best_at = 0, 0
+        for o, a in victims:
+            assert o.spec is not None
+            trial.cpus += o.spec.cpus
+            trial.gpus += o.spec.gpus
+            trial.memory += o.spec.memory
+            chosen.append((o, a))
+            n = units(ask, trial) - had
+            if n > best:
+                best, best_at = n, len(chosen)
+                if best >= want:
+                    break
+        return chosen[:best_at], best
+
+
+def needy(waiting: dict[str, Waiting]) -> list[Waiting]:
+    """Waiting jobs in the order in which the cloud slice rents for them."""
+    return sorted(waiting.values(), key=lambda w: (w.job.rank, w.job.at, w.job.ref))
--- /dev/null
+++ b/hookwall/server.py
@@ -0,0 +1,97 @@
+"""The HTTP door: users, workers and health checks. Routes by hand since there are five paths."""
+
+import logging
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from hookwall import wire
+from hookwall.jobs import LATER, Answer, UserApi
+
+log = logging.getLogger("hookwall.server")
+
+MOST_AT_ONCE = 200
+
+BeatHandler = Callable[[bytes], tuple[int, bytes]]
+
+
+class Door:
+    """Answers requests; never holds one back."""
+
+    def __init__(self, api: UserApi, beat: BeatHandler, up: Callable[[], bool]) -> None:
+        self.api, self.beat, self.up = api, beat, up
+        self.at_once = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        path, method = request.path, request.method
+        try:
+            if path == "/agent/beat" and method == "POST":
+                body = await self._body(request)
+                if body is None:
+                    return _reply(413, b'{"error":"too large"}', close=True)
+                return _reply(*self.beat(body))
+            if path == "/up":
+                return _reply(200 if self.up() else 503, b"{}")
+            if path == "/v1/jobs" or path.startswith("/v1/jobs/"):
+                return await self._user(request, path, method)
+        except (ConnectionError, TimeoutError):
+            raise
+        except Exception:  # one request's surprise must not end the node
+            log.exception("request %s %s failed", method, path)
+            return _reply(503, b'{"error":"internal"}', LATER)
+        return _reply(404, b'{"error":"no such path"}')
+
+    async def _user(self, request: web.BaseRequest, path: str, method: str) -> web.Response:
+        if self.at_once >= MOST_AT_ONCE:
+            return _reply(429, b'{"error":"overloaded"}', LATER)
+        self.at_once += 1
+        try:
+            if path == "/v1/jobs":
+                if method != "POST":
+                    return _reply(405, b'{"error":"method"}')
+                body = await self._body(request)
+                if body is None:
+                    return _reply(413, b'{"error":"too large"}', close=True)
+                return _reply(*await self.api.submit(body))
+            ref, _, action = path[len("/v1/jobs/") :].partition("/")
+            run: Callable[[str], Awaitable[Answer]]
+            if action == "" and method == "GET":
+                run = self.api.get
+            elif action == "cancel" and method == "POST":
+                run = self.api.cancel
+            else:
+                return _reply(404 if action not in ("", "cancel") else 405, b'{"error":"no such path"}')
+            return _reply(*await run(ref))
+        finally:
+            self.at_once -= 1
+
+    async def _body(self, request: web.BaseRequest) -> bytes | None:
+        """The body, or None if it is over the limit; a large one is not read first."""
+        if request.content_length is not None and request.content_length > wire.MAX_BODY:
+            return None
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            part = await request.content.readany()
+            if not part:
+                return b"".join(parts)
+            size += len(part)
+            if size > wire.MAX_BODY:
+                return None
+            parts.append(part)
+
+
+def _reply(status: int, body: bytes, headers: dict[str, str] | None = None, close: bool = False) -> web.Response:
+    answer = web.Response(status=status, body=body, content_type="application/json", headers=headers)
+    if close:
+        answer.force_close()
+    return answer
+
+
+async def listen(door: Door, host: str, port: int) -> web.Server:
+    """Start answering."""
+    import asyncio
+
+    server = web.Server(door.handle, access_log=None)
+    await asyncio.get_running_loop().create_server(server, host, port, backlog=512)
+    return server
--- /dev/null
+++ b/hookwall/store.py
@@ -0,0 +1,278 @@
+"""Client of the state service: the only truth that outlives a process.
+
+Requests are paced below this node's share of the service's limits, since a 429 costs as much as an
+answer. An answer that does not come means "perhaps": callers get `Unknown` and must treat the write
+as one that may still happen.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from hookwall.settings import State
+
+log = logging.getLogger("hookwall.store")
+
+ROOT = "hookwall/"
+JOBS = ROOT + "job/"
+LEADER = ROOT + "leader"
+CATALOG = ROOT + "catalog"
+
+
+class Refused(Exception):
+    """The service answered that it did not execute the request (503, 429)."""
+
+
+class Unknown(Exception):
+    """No usable answer: the request may have been executed, or may be later."""
+
+
+class TooOld(Exception):
+    """The service no longer has the changes asked for; read the keys again."""
+
+
+@dataclass(slots=True)
+class Conflict(Exception):
+    """A conditional write did not happen because these keys had changed."""
+
+    failed: list[str]
+
+
+class Bucket:
+    """Paces requests: `rate` a second with a burst, first come first served."""
+
+    def __init__(self, rate: float, burst: float, clock: Callable[[], float]) -> None:
+        self.rate, self.burst, self.clock = rate, burst, clock
+        self.level, self.at = burst, clock()
+
+    def delay(self, cost: float) -> float:
+        """Take `cost` and say how long to wait first."""
+        now = self.clock()
+        self.level = min(self.burst, self.level + (now - self.at) * self.rate)
+        self.at = now
+        self.level -= cost
+        return max(0.0, -self.level / self.rate)
+
+
+class Store:
+    """Requests to the state service, with what is known about its health."""
+
+    def __init__(self, address: str, limits: State, nodes: int, clock: Callable[[], float]) -> None:
+        self.base = f"http://{address}"
+        self.limits = limits
+        self.clock = clock
+        self.session: aiohttp.ClientSession | None = None
+        self.last_ok = -1e9
+        self.bad_since: float | None = None
+        share = 1.0 if nodes <= 1 else 0.55
+        self.requests = Bucket(limits.rps * share, limits.rps * share * 0.5, clock)
+        self.writes = Bucket(limits.write_rps * share, limits.write_rps * share * 0.5, clock)
+
+    async def open(self) -> None:
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=64, keepalive_timeout=30, use_dns_cache=False),
+            auto_decompress=False,
+        )
+
+    def healthy(self) -> bool:
+        """Whether the last thing heard from the service was an answer."""
+        return self.bad_since is None
+
+    def _good(self) -> None:
+        self.last_ok = self.clock()
+        if self.bad_since is not None:
+            log.info("state service answers again after %.1f s", self.last_ok - self.bad_since)
+            self.bad_since = None
+
+    def _bad(self, what: str) -> None:
+        if self.bad_since is None:
+            self.bad_since = self.clock()
+            log.info("state service fails: %s", what)
+
+    async def _send(
+        self, method: str, path: str, body: object = None, timeout: float = 1.5, cost: float = 0.0
+    ) -> tuple[int, dict]:
+        wait = self.requests.delay(1.0)
+        if cost:
+            wait = max(wait, self.writes.delay(cost))
+        if wait > 0:
+            if wait > 1.0:
+                raise Refused("own budget is used up")
+            await asyncio.sleep(wait)
+        assert self.session is not None
+        data = msgspec.json.encode(body) if body is not None else None
+        try:
+            async with asyncio.timeout(timeout):
+                async with self.session.request(
+                    method, self.base + path, data=data, headers={"Content-Type": "application/json"}
+                ) as answer:
+                    raw = await answer.read()
+                    status = answer.status
+        except (TimeoutError, aiohttp.ClientError, OSError) as e:
+            self._bad(type(e).__name__)
+            raise Unknown(type(e).__name__) from None
+        if status == 503:
+            self._bad("503")
+            raise Refused("503")
+        if status == 429:
+            raise Refused("429")
+        try:
+            value = msgspec.json.decode(raw) if raw else {}
+        except msgspec.DecodeError:
+            value = None
+        if not isinstance(value, dict):
+            log.info("state service sent a malformed answer to %s %s", method, path)
+            raise Unknown("malformed answer")
+        self._good()
+        return status, value
+
+    async def get(self, key: str) -> tuple[object, int] | None:
+        """Value and stamp of a key, or None; always current."""
+        status, body = await self._send("GET", f"/store/{key}")
+        if status == 404:
+            return None
+        if status != 200 or not isinstance(body.get("stamp"), int):
+            raise Unknown(f"status {status}")
+        return body.get("value"), body["stamp"]
+
+    async def scan(self, prefix: str) -> tuple[list[tuple[str, object, int]], int]:
+        """All keys below a prefix. Watching from the returned epoch misses nothing after it."""
+        found: list[tuple[str, object, int]] = []
+        first: int | None = None
+        after = ""
+        while True:
+            path = f"/store?under={prefix}&most=1000" + (f"&after={after}" if after else "")
+            status, body = await self._send("GET", path, timeout=4.0)
+            if status != 200 or not isinstance(body.get("epoch"), int):
+                raise Unknown(f"status {status}")
+            if first is None:
+                first = body["epoch"]
+            entries = body.get("entries") or []
+            for e in entries:
+                found.append((e["k"], e["value"], e["stamp"]))
+            if not body.get("more") or not entries:
+                return found, first
+            after = entries[-1]["k"]
+
+    async def commit(
+        self,
+        when: list[tuple[str, int]],
+        put: list[tuple[str, object]] = (),
+        hold: int | None = None,
+        timeout: float = 1.5,
+    ) -> int:
+        """A conditional write (or, without `put`, a comparison); returns the epoch."""
+        body: dict[str, object] = {"when": [{"k": k, "stamp": s} for k, s in when]}
+        if put:
+            extra = {} if hold is None else {"hold": hold}
+            body["apply"] = [{"set": k, "value": v, **extra} for k, v in put]
+        status, got = await self._send("POST", "/commit", body, timeout, cost=float(len(put)))
+        if status == 409:
+            raise Conflict([k for k in got.get("failed", []) if isinstance(k, str)])
+        if status != 200 or not isinstance(got.get("epoch"), int):
+            raise Unknown(f"commit: status {status} {got.get('error', '')}")
+        return got["epoch"]
+
+    async def hold(self, ttl_s: float) -> int:
+        status, got = await self._send("POST", "/holds", {"ttlMs": int(ttl_s * 1000)})
+        if status != 200 or not isinstance(got.get("hold"), int):
+            raise Unknown(f"hold: status {status}")
+        return got["hold"]
+
+    async def extend(self, hold: int) -> bool:
+        """Renew a hold; False if it has ended."""
+        status, _ = await self._send("POST", f"/holds/{hold}/extend", {}, timeout=1.0)
+        return status == 200
+
+    async def drop(self, hold: int) -> None:
+        await self._send("DELETE", f"/holds/{hold}", timeout=1.0)
+
+    async def changes(self, after: int, block_s: float) -> tuple[list[dict], int]:
+        """Changes below the root since `after`; waits up to `block_s` for one."""
+        path = f"/changes?under={ROOT}&after={after}&blockMs={int(block_s * 1000)}"
+        status, got = await self._send("GET", path, timeout=block_s + 3.0)
+        if status == 410:
+            raise TooOld
+        if status != 200 or not isinstance(got.get("epoch"), int):
+            raise Unknown(f"watch: status {status}")
+        return [e for e in got.get("log", []) if isinstance(e, dict)], got["epoch"]
+
+
+class Confirmer:
+    """Proves that cached versions are still current, many in one comparison.
+
+    An answer from a cache could be older than what another node has told the same user, so nothing
+    but a final state leaves a node unconfirmed.
+    """
+
+    def __init__(self, store: Store, refresh: Callable[[str], Awaitable[None]]) -> None:
+        self.store = store
+        self.refresh = refresh
+        self.most = max(1, store.limits.txn_ops * 4 - 1)
+        self.waiting: dict[str, tuple[int, list[asyncio.Future]]] = {}
+        self.wake = asyncio.Event()
+
+    async def confirm(self, key: str, stamp: int) -> bool:
+        """True: the key still has this stamp. False: it was read again. Raises if neither is known."""
+        entry = self.waiting.get(key)
+        future: asyncio.Future = asyncio.get_running_loop().create_future()
+        if entry is not None and entry[0] == stamp:
+            entry[1].append(future)
+        elif entry is not None:
+            # Another version of the same key is being asked about; a read settles both.
+            await self.refresh(key)
+            return False
+        else:
+            self.waiting[key] = (stamp, [future])
+            self.wake.set()
+        async with asyncio.timeout(1.5):
+            return await future
+
+    async def run(self) -> None:
+        while True:
+            await self.wake.wait()
+            await asyncio.sleep(0.03)
+            self.wake.clear()
+            while self.waiting:
+                keys = list(self.waiting)[: self.most]
+                batch = {k: self.waiting.pop(k) for k in keys}
+                await self._ask(batch)
+
+    async def _ask(self, batch: dict[str, tuple[int, list[asyncio.Future]]]) -> None:
+        try:
+            while batch:
+                try:
+                    await self.store.commit([(k, s) for k, (s, _) in batch.items()], timeout=1.0)
+                except Conflict as c:
+                    changed = [k for k in c.failed if k in batch]
+                    if not changed:
+                        raise Unknown("conflict without keys") from None
+                    # The list might name only some of the keys, so the rest are asked about again.
+                    for k in changed:
+                        _, futures = batch.pop(k)
+                        try:
+                            await self.refresh(k)
+                        except (Refused, Unknown) as e:
+                            _settle(futures, e)
+                        else:
+                            _settle(futures, False)
+                else:
+                    for _, futures in batch.values():
+                        _settle(futures, True)
+                    return
+        except (Refused, Unknown) as e:
+            for _, futures in batch.values():
+                _settle(futures, e)
+
+
+def _settle(futures: list[asyncio.Future], result: object) -> None:
+    for f in futures:
+        if not f.done():
+            if isinstance(result, Exception):
+                f.set_exception(result)
+            else:
+                f.set_result(result)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,167 @@
+"""Stand-ins written from the protocol: a clock, a state service, and a small cluster to decide about."""
+
+import asyncio
+
+import pytest
+
+from hookwall import wire
+from hookwall.fleet import Fleet
+from hookwall.jobs import JobTable
+from hookwall.scheduler import Scheduler
+from hookwall.settings import Cloud, MachineLimits, Params, State, Team, Workers
+from hookwall.store import Conflict, Refused, Unknown
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+    def tick(self, seconds: float) -> None:
+        self.now += seconds
+
+
+class FakeState:
+    """The state service as PROTOCOL describes it, with faults by hand."""
+
+    def __init__(self, limits: State) -> None:
+        self.limits = limits
+        self.keys: dict[str, tuple[object, int]] = {}
+        self.epoch = 0
+        self.mode = "ok"  # ok | down | lost (not executed, no answer) | ghost (executed, no answer)
+        self.requests: list[str] = []
+
+    def healthy(self) -> bool:
+        return self.mode != "down"
+
+    def _enter(self, what: str) -> None:
+        self.requests.append(what)
+        if self.mode == "down":
+            raise Refused("503")
+        if self.mode == "lost":
+            raise Unknown("timeout")
+
+    async def get(self, key):
+        self._enter(f"get {key}")
+        return self.keys.get(key)
+
+    async def scan(self, prefix):
+        self._enter("scan")
+        return [(k, v, s) for k, (v, s) in sorted(self.keys.items()) if k.startswith(prefix)], self.epoch
+
+    async def commit(self, when, put=(), hold=None, timeout=1.5):
+        self._enter("commit" if put else "compare")
+        await asyncio.sleep(0)
+        failed = [k for k, s in when if self.keys.get(k, (None, 0))[1] != s]
+        if failed:
+            raise Conflict(failed)
+        if put:
+            self.epoch += 1
+            for k, v in put:
+                self.keys[k] = (v, self.epoch)
+        if self.mode == "ghost":
+            raise Unknown("timeout")
+        return self.epoch
+
+    async def hold(self, ttl):
+        self._enter("hold")
+        return 7
+
+    async def extend(self, hold):
+        self._enter("extend")
+        return True
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def params():
+    return Params(
+        size=3,
+        zones=["east", "west"],
+        workers=Workers(report_s=2.0, lease_s=12.0, gang_wait_s=40.0, gang_peer_s=8.0, cancel_s=40.0),
+        state=State(rps=100.0, write_rps=30.0, value_kb=16.0, txn_ops=12),
+        cloud=Cloud(rps=2.0, list_lag_s=5.0),
+        teams=[Team("red", gpus=8.0, gpus_max=16.0), Team("blue", gpus=8.0), Team("grey")],
+        machine_limits=MachineLimits(),
+    )
+
+
+@pytest.fixture
+def state(params):
+    return FakeState(params.state)
+
+
+def description(n=1, **changes):
+    """A submission's fields."""
+    d = {
+        "ref": f"run-{n:06d}", "hookset": "k", "owner": "grey", "shape": "batch", "rank": "standard", "pieces": 1,
+        "cores": 4.0, "cards": 1.0, "memGb": 16.0, "bundle": "img-1", "sizeGb": 5.0, "hulls": None, "yard": None,
+        "samePlace": False, "spread": False, "loaners": False, "guessS": 60.0, "pinEveryS": 10.0, "pinCostS": 2.0,
+        "dueS": None,
+    }  # fmt: skip
+    return {**d, **changes}
+
+
+CATALOG = wire.convert(
+    {
+        "hulls": [
+            {"label": "g4", "cores": 32, "cards": 4, "memGb": 256, "localGb": 20, "pullGbPerS": 0.5, "price": 10.0,
+             "spotPrice": 4.0, "startupS": 25, "yards": ["east", "west"]},
+        ]
+    },
+    wire.Catalog,
+)  # fmt: skip
+
+
+class Cluster:
+    """A leader's slices without its loops; `store` plays the writer."""
+
+    def __init__(self, params, clock) -> None:
+        self.clock = clock
+        self.table = JobTable(clock)
+        self.fleet = Fleet(params, self.table, clock)
+        self.fleet.set_catalog(CATALOG)
+        self.fleet.token = 5
+        self.fleet.begin(clock())
+        self.scheduler = Scheduler(params, self.table, self.fleet, clock)
+        self.table.on_taken = self.fleet.retake
+        self.stamp = 10
+        self.ticks: dict[str, int] = {}
+
+    def submit(self, n=1, **changes):
+        d = description(n, **changes)
+        record = {"phase": "open", "n": d["pieces"], "next": 1, "on": [], "spec": d, "at": float(n), "done": ""}
+        self.stamp += 1
+        self.table.apply("hookwall/job/" + d["ref"], record, self.stamp)
+        return self.table.jobs[d["ref"]]
+
+    def store(self) -> None:
+        """All that is dirty is written."""
+        for job in list(self.table.open.values()):
+            if job.dirty:
+                self.stamp += 1
+                on = {a.task: (a.machine, a.attempt) for a in job.active.values()}
+                job.dirty = False
+                job.stored(self.stamp, on, job.phase, job.n_done)
+                self.table.note(job)
+
+    def beat(self, name, tasks=(), token=5, tenure=1, zone="east", spot=False, notice=None, tick=None):
+        """A worker's report; returns the commands as (verb, piece, attempt)."""
+        n = self.ticks[name] = self.ticks.get(name, 0) + 1 if tick is None else tick
+        b = wire.Beat(
+            machine=name, tenure=tenure, tick=n, token=token, type="g4", zone=zone, spot=spot, notice_s=notice,
+            tasks=[wire.TaskReport(piece=p, attempt=a, phase=ph, cause=c) for p, a, ph, c in tasks],
+        )  # fmt: skip
+        orders = self.fleet.report(b)
+        return None if orders is None else [(o.verb, o.piece, o.attempt) for o in orders]
+
+
+@pytest.fixture
+def cluster(params, clock):
+    return Cluster(params, clock)
--- /dev/null
+++ b/tests/test_cloud.py
@@ -0,0 +1,114 @@
+"""What is rented and returned."""
+
+import asyncio
+
+import pytest
+
+from hookwall import wire
+from hookwall.cloud import NoCapacity, Renting, Trouble
+from hookwall.fleet import Phase
+
+
+class ScriptedCloud:
+    def __init__(self) -> None:
+        self.asked: list[tuple] = []
+        self.answer = lambda count: [f"vm-9{i}" for i in range(count)]
+
+    async def rent(self, hire, type_, zone, spot, count):
+        self.asked.append((hire, type_, zone, spot, count))
+        return self.answer(count)
+
+
+@pytest.fixture
+def renting(cluster, params, clock):
+    r = Renting(params, cluster.fleet, cluster.scheduler, ScriptedCloud(), clock)
+    r.reset()
+    r.cost_matters = True
+    return r
+
+
+def test_waiting_jobs_are_packed_into_what_is_rented(cluster, renting):
+    cluster.submit(1, pieces=7)
+    cluster.submit(2, shape="ensemble", cards=4.0)
+    cluster.scheduler.round()
+    plan = renting.wanted(cluster.clock())
+    assert sum(plan.values()) == 3 and not any(spot for _, _, spot in plan)
+
+
+def test_cheap_machines_for_those_that_may_use_them(cluster, renting):
+    cluster.submit(1, pieces=4, loaners=True)
+    cluster.scheduler.round()
+    assert [spot for _, _, spot in renting.wanted(cluster.clock())] == [True]
+
+
+def test_machines_on_their_way_are_counted(cluster, renting):
+    cluster.submit(1, pieces=4)
+    cluster.scheduler.round()
+    cluster.fleet.machine("vm-5", "g4", "east", False)
+    assert renting.wanted(cluster.clock()) == {}
+    cluster.clock.tick(25.0 * 2.5 + 1)
+    assert sum(renting.wanted(cluster.clock()).values()) == 1, "one that does not come up is not waited for"
+
+
+def test_a_refused_pool_is_left_alone_for_a_while(cluster, renting):
+    from hookwall.cloud import Hire
+
+    def refuse(count):
+        raise NoCapacity
+
+    renting.client.answer = refuse
+    hire = Hire("hw-5-1", (0, 0, False), 2)
+    renting.hires.append(hire)
+    asyncio.run(renting._hire(hire))
+    assert (0, 0, False) not in renting.pools(cluster.clock()) and not renting.hires
+    cluster.clock.tick(31.0)
+    assert (0, 0, False) in renting.pools(cluster.clock())
+
+
+def test_an_unanswered_hire_keeps_its_name_and_counts_as_coming(cluster, renting):
+    from hookwall.cloud import Hire
+
+    def lose(count):
+        raise Trouble("timeout")
+
+    renting.client.answer = lose
+    hire = Hire("hw-5-1", (0, 0, False), 2)
+    renting.hires.append(hire)
+    with pytest.raises(Trouble):
+        asyncio.run(renting._hire(hire))
+    assert renting.hires == [hire] and len(renting.coming(cluster.clock())) == 2
+
+
+def test_unexpected_machines_are_taken_in(cluster, renting):
+    renting.take_list([wire.Listed(name="vm-77", type="g4", zone="west", phase="running")], cluster.clock())
+    assert cluster.fleet.machines["vm-77"].phase is Phase.BOOTING
+    cluster.beat("vm-77", zone="west")
+    job = cluster.submit(1)
+    cluster.scheduler.round()
+    assert job.active[0].machine == "vm-77"
+
+
+def test_an_idle_machine_is_returned_and_gets_no_more_work(cluster, renting):
+    cluster.beat("vm-1")
+    cluster.clock.tick(200.0)
+    cluster.beat("vm-1")
+    (m,) = renting.to_return(cluster.clock())
+    assert m.phase is Phase.LEAVING
+    job = cluster.submit(1)
+    cluster.scheduler.round()
+    assert not job.active
+
+
+def test_a_machine_with_tasks_is_kept(cluster, renting):
+    cluster.beat("vm-1")
+    cluster.submit(1)
+    cluster.scheduler.round()
+    cluster.clock.tick(200.0)
+    cluster.beat("vm-1")
+    assert renting.to_return(cluster.clock()) == []
+
+
+def test_a_machine_that_never_comes_up_is_deleted(cluster, renting):
+    cluster.fleet.machine("vm-5", "g4", "east", False)
+    cluster.clock.tick(25.0 * 5 + 1)
+    assert [m.name for m in renting.to_return(cluster.clock())] == ["vm-5"]
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,196 @@
+"""When a start is shown to be gone, and what workers are told. Each test guards a rule."""
+
+import pytest
+
+
+def started(cluster, n=1, machine="vm-1", **changes):
+    """A job whose tasks were placed on one machine, stored, launched and are running."""
+    cluster.beat(machine)
+    job = cluster.submit(n, **changes)
+    cluster.scheduler.round()
+    cluster.store()
+    assert {a.machine for a in job.active.values()} == {machine}
+    cluster.beat(machine)
+    cluster.beat(machine, running(job))
+    return job
+
+
+def running(job, phase="running", cause=None):
+    return [(f"{job.ref}/{a.task}", a.attempt, phase, cause) for a in job.active.values()]
+
+
+def test_nothing_is_launched_before_it_is_stored(cluster):
+    cluster.beat("vm-1")
+    job = cluster.submit(1)
+    cluster.scheduler.round()
+    assert job.active and cluster.beat("vm-1") == []
+    cluster.store()
+    assert cluster.beat("vm-1") == [("launch", "run-000001/0", 1)]
+
+
+def test_done_is_stored_before_it_is_forgotten(cluster):
+    job = started(cluster)
+    report = running(job, "exited", "done")
+    assert cluster.beat("vm-1", report) == []
+    cluster.scheduler.round()
+    assert job.phase == "done" and job.stored_phase == "open"
+    cluster.store()
+    assert cluster.beat("vm-1", report) == [("forget", "run-000001/0", 1)]
+    assert job.final()
+
+
+def test_each_start_has_a_new_attempt_number(cluster):
+    job = started(cluster)
+    report = running(job, "exited", "halted")
+    cluster.beat("vm-1", report)
+    cluster.scheduler.round()
+    assert job.active[0].attempt == 2
+    # The old attempt is only forgotten once the record names the new one.
+    assert cluster.beat("vm-1", report) == []
+    cluster.store()
+    assert cluster.beat("vm-1", report) == [("forget", "run-000001/0", 1), ("launch", "run-000001/0", 2)]
+
+
+def test_a_silent_machine_keeps_its_tasks_until_its_lease_must_be_over(cluster):
+    job = started(cluster)
+    cluster.beat("vm-2")
+    cluster.clock.tick(12.0)
+    cluster.beat("vm-2")
+    cluster.fleet.expire(cluster.clock())
+    cluster.scheduler.round()
+    assert job.active[0].machine == "vm-1"
+    cluster.clock.tick(0.6)
+    cluster.fleet.expire(cluster.clock())
+    cluster.scheduler.round()
+    assert job.active[0].machine == "vm-2" and job.active[0].attempt == 2
+
+
+def test_a_new_leader_counts_leases_from_its_own_beginning(cluster):
+    job = started(cluster)
+    cluster.fleet.reset(token=9)
+    cluster.clock.tick(30.0)
+    cluster.fleet.expire(cluster.clock())
+    assert job.active, "nobody may expire leases before this leader is valid"
+    cluster.fleet.begin(cluster.clock())
+    cluster.clock.tick(12.0)
+    cluster.fleet.expire(cluster.clock())
+    assert job.active
+    cluster.clock.tick(1.0)
+    cluster.fleet.expire(cluster.clock())
+    assert not job.active
+
+
+def test_absence_in_a_report_proves_nothing_unless_it_carries_our_token(cluster):
+    job = started(cluster)
+    job.phase = "withdrawn"
+    # An older leader's launch could still reach a worker that has not seen our token.
+    cluster.beat("vm-1", token=4)
+    assert job.active
+    cluster.beat("vm-1", token=5)
+    assert not job.active
+
+
+def test_an_older_report_is_not_believed(cluster):
+    job = started(cluster)
+    assert cluster.beat("vm-1", [], tick=1) is None
+    assert job.active[0].phase == "running"
+
+
+def test_a_later_tenure_shows_that_the_tasks_are_gone(cluster):
+    job = started(cluster)
+    cluster.beat("vm-1", tenure=2, tick=1)
+    assert not job.active
+    cluster.scheduler.round()
+    assert (job.active[0].tenure, job.active[0].attempt) == (2, 2)
+
+
+def test_a_lost_launch_is_repeated_with_the_same_attempt(cluster):
+    cluster.beat("vm-1")
+    cluster.submit(1)
+    cluster.scheduler.round()
+    cluster.store()
+    assert cluster.beat("vm-1") == cluster.beat("vm-1") == [("launch", "run-000001/0", 1)]
+
+
+def test_a_confirmed_deletion_frees_the_tasks(cluster):
+    job = started(cluster)
+    cluster.fleet.gone(cluster.fleet.machines["vm-1"], "deleted")
+    assert not job.active and "vm-1" not in cluster.fleet.machines
+
+
+def test_a_task_that_no_record_names_is_stopped_and_blocks_its_machine(cluster):
+    assert cluster.beat("vm-1", [("run-000009/0", 3, "running", None)]) == [("stop", "run-000009/0", 3)]
+    job = cluster.submit(1)
+    cluster.scheduler.round()
+    assert not job.active
+    cluster.beat("vm-1")
+    cluster.scheduler.round()
+    assert job.active
+
+
+def test_cancelled_tasks_are_stopped_and_counted_until_gone(cluster):
+    job = started(cluster)
+    record = job.record()
+    cluster.stamp += 1
+    cluster.table.apply("hookwall/job/" + job.ref, {**record, "phase": "withdrawn"}, cluster.stamp)
+    assert cluster.scheduler.picture(cluster.clock()).usage[job.team].gpus == 1.0
+    assert cluster.beat("vm-1", running(job)) == [("stop", "run-000001/0", 1)]
+    cluster.beat("vm-1", running(job, "exited", "halted"))
+    assert not job.active
+
+
+def test_a_cancelled_launch_is_never_sent(cluster):
+    cluster.beat("vm-1")
+    job = cluster.submit(1)
+    cluster.scheduler.round()
+    cluster.store()
+    cluster.stamp += 1
+    cluster.table.apply("hookwall/job/" + job.ref, {**job.record(), "phase": "withdrawn"}, cluster.stamp)
+    assert cluster.beat("vm-1") == []
+    assert not job.active
+
+
+def test_one_done_task_completes_its_gang_but_the_others_still_count(cluster):
+    job = started(cluster, shape="ensemble", pieces=2, cards=2.0)
+    first = running(job, "exited", "done")[:1]
+    cluster.beat("vm-1", first + running(job)[1:])
+    assert job.n_done == 2 and list(job.active) == [1]
+    assert cluster.scheduler.picture(cluster.clock()).usage[job.team].gpus == 2.0
+
+
+def test_a_noticed_machine_saves_its_tasks_and_gets_no_more(cluster):
+    job = started(cluster, spot=False)
+    cluster.beat("vm-1", running(job), notice=12.0)
+    assert cluster.beat("vm-1", running(job)) == [("stop", "run-000001/0", 1)]
+    other = cluster.submit(2)
+    cluster.scheduler.round()
+    assert not other.active
+
+
+def test_a_machine_that_fails_tasks_of_two_jobs_gets_no_more(cluster):
+    for n in (1, 2):
+        job = started(cluster, n)
+        cluster.beat("vm-1", running(job, "exited", "error"))
+        cluster.store()
+        job.phase = "withdrawn"
+    assert cluster.fleet.machines["vm-1"].phase.value == "sick"
+
+
+def test_a_job_that_fails_everywhere_does_not_make_machines_sick(cluster):
+    job = cluster.submit(1)
+    for i in range(6):
+        name = f"vm-{i}"
+        cluster.beat(name)
+        cluster.clock.tick(70.0)
+        cluster.beat(name)
+        cluster.scheduler.round()
+        cluster.store()
+        if job.active:
+            at = job.active[0].machine
+            cluster.beat(at, running(job, "exited", "error"))
+    assert sum(m.phase.value == "sick" for m in cluster.fleet.machines.values()) == 0
+
+
+@pytest.mark.parametrize("bad", [[("nonsense", 1, "running", None)], [("run-1/x", 1, "exited", None)]])
+def test_nonsense_in_a_report_is_survived(cluster, bad):
+    assert cluster.beat("vm-1", bad) == []
--- /dev/null
+++ b/tests/test_jobs.py
@@ -0,0 +1,182 @@
+"""What users are told: never older than what another node has said."""
+
+import asyncio
+import json
+
+import pytest
+from conftest import CATALOG, description
+
+from hookwall.jobs import JobTable, UserApi, pack, unpack
+from hookwall.store import Confirmer
+
+
+class Nodes:
+    """Two nodes on one state service, neither of which sees the other's changes by itself."""
+
+    def __init__(self, params, state, clock) -> None:
+        self.apis = []
+        for _ in range(2):
+            table = JobTable(clock)
+            confirmer = Confirmer(state, None)
+            api = UserApi(params, table, state, confirmer)
+            confirmer.refresh = api.refresh
+            api.catalog = CATALOG
+            self.apis.append(api)
+
+
+def play(nodes, script):
+    async def main():
+        loops = [asyncio.create_task(a.confirmer.run()) for a in nodes.apis]
+        try:
+            return await script(*nodes.apis)
+        finally:
+            for t in loops:
+                t.cancel()
+
+    return asyncio.run(main())
+
+
+@pytest.fixture
+def nodes(params, state, clock):
+    return Nodes(params, state, clock)
+
+
+def body(n=1, **changes):
+    return json.dumps(description(n, **changes)).encode()
+
+
+def test_accepted_only_once_stored(nodes, state):
+    async def script(a, b):
+        state.mode = "lost"
+        first = await a.submit(body())
+        state.mode = "ok"
+        gone = await a.get("run-000001")
+        second = await a.submit(body())
+        return first[0], first[2], gone[0], second[0], (await b.submit(body()))[0]
+
+    assert play(nodes, script) == (503, {"Retry-After": "1"}, 404, 201, 200)
+
+
+def test_a_write_that_happened_without_an_answer_is_found_on_the_retry(nodes, state):
+    async def script(a, b):
+        state.mode = "ghost"
+        first = await a.submit(body())
+        state.mode = "ok"
+        return first[0], (await a.submit(body()))[0], (await b.get("run-000001"))[0]
+
+    assert play(nodes, script) == (503, 200, 200)
+
+
+def test_a_cached_answer_is_confirmed_before_it_is_given(nodes):
+    async def script(a, b):
+        await a.submit(body())
+        assert b"pending" in (await b.get("run-000001"))[1]
+        await a.cancel("run-000001")
+        return [json.loads((await x.get("run-000001"))[1])["phase"] for x in (b, a)]
+
+    assert play(nodes, script) == ["withdrawn", "withdrawn"]
+
+
+def test_404_is_confirmed_too(nodes):
+    async def script(a, b):
+        before = await b.get("run-000001")
+        await a.submit(body())
+        return before[0], (await b.get("run-000001"))[0]
+
+    assert play(nodes, script) == (404, 200)
+
+
+def test_unconfirmed_is_503_at_once_but_final_states_are_served(nodes, state):
+    async def script(a, b):
+        await a.submit(body(1))
+        await a.submit(body(2))
+        await a.cancel("run-000002")
+        state.mode = "down"
+        return [(await a.get(f"run-00000{n}"))[0] for n in (1, 2, 3)]
+
+    assert play(nodes, script) == [503, 200, 503]
+
+
+def test_polls_share_one_comparison(nodes, state):
+    async def script(a, b):
+        for n in range(1, 9):
+            await a.submit(body(n))
+        state.requests.clear()
+        await asyncio.gather(*(a.get(f"run-{n:06d}") for n in range(1, 9)))
+        return list(state.requests)
+
+    assert play(nodes, script) == ["compare"]
+
+
+def test_cancel_is_final_and_does_not_undo_done(nodes, state):
+    async def script(a, b):
+        await a.submit(body(1))
+        key = "hookwall/job/run-000001"
+        state.epoch += 1
+        state.keys[key] = ({"phase": "done", "n": 1, "next": 2, "on": []}, state.epoch)
+        first = json.loads((await b.cancel("run-000001"))[1])["phase"]
+        return first, json.loads((await a.get("run-000001"))[1])["phase"]
+
+    assert play(nodes, script) == ("done", "done")
+
+
+def test_a_cancellation_seen_while_the_leader_writes_is_not_answered_with_running(nodes):
+    async def script(a, b):
+        await a.submit(body(1))
+        job = a.table.jobs["run-000001"]
+        job.writing = True  # the leader's own write of the same job is under way
+        await b.cancel("run-000001")
+        return json.loads((await a.get("run-000001"))[1])["phase"]
+
+    assert play(nodes, script) == "withdrawn"
+
+
+@pytest.mark.parametrize(
+    ("changes", "status"),
+    [
+        ({"owner": "nobody"}, 422),
+        ({"hulls": ["g9"]}, 422),
+        ({"cards": 5.0}, 422),
+        ({"yard": "north"}, 422),
+        ({"owner": "red", "shape": "ensemble", "pieces": 5, "cards": 4.0}, 422),
+        ({"owner": "red", "shape": "batch", "pieces": 5, "cards": 4.0}, 201),
+        ({"owner": "grey", "shape": "ensemble", "pieces": 5, "cards": 4.0}, 201),
+    ],
+)
+def test_what_can_never_run(nodes, changes, status):
+    async def script(a, b):
+        return (await a.submit(body(**changes)))[0]
+
+    assert play(nodes, script) == status
+
+
+def test_an_accepted_job_is_not_refused_when_it_is_repeated(nodes):
+    async def script(a, b):
+        await a.submit(body())
+        return (await b.submit(body(owner="nobody")))[0]
+
+    assert play(nodes, script) == 200
+
+
+def test_without_machine_types_nothing_is_decided(nodes):
+    async def script(a, b):
+        a.catalog = None
+        return (await a.submit(body()))[0]
+
+    assert play(nodes, script) == 503
+
+
+def test_ranges_round_trip_and_stay_small():
+    for numbers in ([], [0], [3, 4, 5], [0, 2, 4, 5, 6, 99_999]):
+        assert unpack(pack(numbers)) == numbers
+    assert pack(range(100_000)) == "0-99999"
+
+
+def test_a_record_of_100_000_tasks_fits_a_value(cluster, params):
+    job = cluster.submit(1, pieces=100_000, cards=0.0, cores=0.01, memGb=0.0)
+    for name in ("vm-1", "vm-2"):
+        cluster.beat(name)
+    for _ in range(5):
+        cluster.scheduler.round()
+    assert job.active
+    assert len(json.dumps(job.record())) < params.state.value_kb * 1024
--- /dev/null
+++ b/tests/test_leadership.py
@@ -0,0 +1,170 @@
+"""Promises: two nodes must never both hold those of a majority."""
+
+import asyncio
+
+import pytest
+
+from hookwall import store as st
+from hookwall.leadership import PROMISE_S, Leadership, Promise, Role
+
+
+@pytest.fixture
+def promise(clock):
+    p = Promise("n0", clock)
+    clock.tick(PROMISE_S * 2)
+    return p
+
+
+def test_a_promise_binds_until_it_ends(promise, clock):
+    assert promise.renew("n1", 7)
+    assert not promise.vote("n2") and not promise.renew("n2", 8)
+    clock.tick(PROMISE_S + 0.01)
+    assert promise.vote("n2")
+
+
+def test_an_older_token_is_never_supported_again(promise, clock):
+    assert promise.renew("n1", 7)
+    clock.tick(PROMISE_S + 0.01)
+    assert promise.renew("n2", 8)
+    clock.tick(PROMISE_S + 0.01)
+    assert not promise.renew("n1", 7)
+
+
+def test_a_restarted_node_contradicts_nothing_it_may_have_promised(clock):
+    p = Promise("n0", clock)
+    p.seen_key = ("n1", 7)
+    assert not p.vote("n2"), "it may have promised n1 just before it restarted"
+    assert p.vote("n1"), "n1 itself asks: the process that held the promise is gone"
+    p = Promise("n0", clock)
+    p.seen_key = ("n1", 7)
+    assert not p.renew("n2", 6)
+    assert p.renew("n1", 7)
+    p = Promise("n0", clock)
+    p.seen_key = ("n1", 7)
+    clock.tick(PROMISE_S * 1.1)
+    assert p.vote("n2")
+
+
+def test_without_a_leader_key_a_fresh_node_may_vote_at_once(clock):
+    p = Promise("n0", clock)
+    assert not p.vote("n1"), "the key has not been read yet"
+    p.seen_key = ("", 0)
+    assert p.vote("n1")
+
+
+def test_a_late_release_does_not_undo_a_newer_promise(promise):
+    promise.renew("n1", 7)
+    promise.renew("n1", 9)
+    promise.release("n1", 7)
+    assert not promise.vote("n2")
+    promise.release("n1", 9)
+    assert promise.vote("n2")
+
+
+class ScriptedPeer:
+    def __init__(self, name, answer):
+        self.name, self.answer, self.calls = name, answer, []
+
+    async def call(self, message, timeout=1.0):
+        self.calls.append(message)
+        return self.answer(message)
+
+
+def make(state, clock, answers):
+    async def load():
+        return None
+
+    peers = [ScriptedPeer(f"n{i + 1}", a) for i, a in enumerate(answers)]
+    lead = Leadership("n0", 3, peers, state, clock, load, lambda role: None)
+    clock.tick(PROMISE_S * 2)
+    lead.saw_key("", 0)
+    return lead
+
+
+def yes(message):
+    return {"ok": True, "sok": True, "top": 0}
+
+
+def no(message):
+    return {"ok": False, "sok": True, "top": 0}
+
+
+def silent(message):
+    return None
+
+
+def test_a_candidate_needs_a_majority(state, clock):
+    lead = make(state, clock, [no, silent])
+    asyncio.run(lead._campaign())
+    assert lead.role is Role.FOLLOWER and st.LEADER not in state.keys
+
+
+def test_the_token_is_the_stamp_of_the_leader_key(state, clock):
+    state.epoch = 40
+    lead = make(state, clock, [yes, silent])
+    asyncio.run(lead._campaign())
+    assert lead.role is Role.LEADER and lead.valid()
+    assert lead.token == state.keys[st.LEADER][1] == 41
+
+
+def test_a_leader_without_a_majority_falls_silent_before_the_promises_end(state, clock):
+    lead = make(state, clock, [yes, silent])
+    asyncio.run(lead._campaign())
+    clock.tick(PROMISE_S * 0.98)
+    assert lead.valid()
+    clock.tick(PROMISE_S * 0.02)
+    assert not lead.valid()
+
+
+def test_validity_counts_from_sending(state, clock):
+    def slow(message):
+        clock.tick(2.0)
+        return yes(message)
+
+    lead = make(state, clock, [yes, silent])
+    asyncio.run(lead._campaign())
+    before = clock()
+    lead.peers[0].answer = slow
+    asyncio.run(lead._ping(lead.peers[0]))
+    assert lead.acks["n1"] == before
+
+
+def test_a_leader_whose_key_was_replaced_steps_down(state, clock):
+    lead = make(state, clock, [yes, yes])
+    asyncio.run(lead._campaign())
+    lead.saw_key("n2", lead.token + 5)
+    assert lead.role is Role.FOLLOWER and not lead.valid()
+
+
+def test_a_lost_race_for_the_key_is_no_leadership(state, clock):
+    def racer(message):
+        if message["t"] == "vote":
+            state.epoch += 1
+            state.keys[st.LEADER] = ({"node": "n2"}, state.epoch)
+        return yes(message)
+
+    lead = make(state, clock, [racer, yes])
+    asyncio.run(lead._campaign())
+    assert lead.role is Role.FOLLOWER
+
+
+def test_a_restarted_node_replaces_its_earlier_self_at_once(state, clock):
+    state.epoch = 3
+    state.keys[st.LEADER] = ({"node": "n0"}, 3)
+    lead = make(state, clock, [yes, yes])
+    lead.promise.started = clock()
+    lead.saw_key("n0", 3)
+    assert lead._may_campaign()
+    lead.saw_key("n1", 4)
+    assert not lead._may_campaign()
+
+
+def test_a_leader_refuses_to_vote(state, clock):
+    lead = make(state, clock, [yes, yes])
+    asyncio.run(lead._campaign())
+    assert not lead.handle({"t": "vote", "n": "n1"})["ok"]
+
+
+@pytest.mark.parametrize("message", [{}, {"t": "ping"}, {"t": "ping", "n": 3}, {"t": "release", "n": "n1", "tok": "x"}])
+def test_nonsense_from_a_peer_is_survived(state, clock, message):
+    assert "ok" in make(state, clock, [yes, yes]).handle(message)
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,119 @@
+"""Rounds: order, limits, preemption, and the time budget."""
+
+from hookwall import scheduler as sched
+
+
+def up(cluster, *names, **kw):
+    for n in names:
+        cluster.beat(n, **kw)
+
+
+def test_rank_then_arrival(cluster):
+    up(cluster, "vm-1")
+    late = cluster.submit(3, pieces=4, rank="urgent")
+    early = cluster.submit(1, pieces=4)
+    cluster.scheduler.round()
+    assert len(late.active) == 4 and not early.active
+
+
+def test_a_teams_limit_counts_tasks_that_may_still_run(cluster):
+    up(cluster, "vm-1", "vm-2", "vm-3", "vm-4", "vm-5")
+    a = cluster.submit(1, owner="red", pieces=12)
+    b = cluster.submit(2, owner="red", pieces=12)
+    cluster.scheduler.round()
+    assert len(a.active) + len(b.active) == 16
+    a.phase = "withdrawn"
+    cluster.scheduler.round()
+    assert len(a.active) + len(b.active) == 16
+
+
+def test_urgent_work_stops_lower_work_in_order_and_gets_its_place(cluster):
+    up(cluster, "vm-1")
+    low = cluster.submit(1, pieces=4, rank="low")
+    cluster.scheduler.round()
+    cluster.store()
+    report = [(f"{low.ref}/{i}", 1, "running", None) for i in range(4)]
+    cluster.beat("vm-1")
+    cluster.beat("vm-1", report)
+    high = cluster.submit(2, shape="ensemble", cards=4.0, cores=20.0, rank="urgent")
+    other = cluster.submit(3, pieces=4, rank="low")
+    cluster.scheduler.round()
+    assert [o[0] for o in cluster.beat("vm-1", report)] == ["stop"] * 4
+    cluster.beat("vm-1", [(p, a, "exited", "halted") for p, a, _, _ in report])
+    cluster.scheduler.round()
+    assert len(high.active) == 1 and not other.active and not low.active
+
+
+def test_equal_rank_is_not_stopped_without_a_guarantee(cluster):
+    up(cluster, "vm-1")
+    first = cluster.submit(1, pieces=4)
+    cluster.scheduler.round()
+    cluster.submit(2, pieces=4)
+    cluster.scheduler.round()
+    assert all(a.stop_grace is None for a in first.active.values())
+
+
+def test_a_guarantee_takes_back_only_what_was_borrowed(cluster):
+    up(cluster, "vm-1", "vm-2", "vm-3", "vm-4")
+    blue = cluster.submit(1, owner="blue", pieces=12)
+    grey = cluster.submit(2, owner="grey", pieces=4)
+    cluster.scheduler.round()
+    red = cluster.submit(3, owner="red", pieces=8)
+    cluster.scheduler.round()
+    stopped = {j.ref: sum(a.stop_grace is not None for a in j.active.values()) for j in (blue, grey)}
+    assert stopped == {blue.ref: 4, grey.ref: 4}
+    assert red.ref in cluster.scheduler.waiting
+
+
+def test_a_waiting_gang_is_not_starved_by_later_small_jobs(cluster):
+    up(cluster, "vm-1")
+    small = cluster.submit(1, pieces=2)
+    cluster.scheduler.round()
+    cluster.store()
+    gang = cluster.submit(2, shape="ensemble", cards=4.0)
+    cluster.scheduler.round()
+    cluster.clock.tick(1.5)
+    up(cluster, "vm-1")
+    later = cluster.submit(3, pieces=2)
+    cluster.scheduler.round()
+    assert not later.active and not gang.active and len(small.active) == 2
+
+
+def test_a_round_out_of_time_goes_on_where_it_stopped(cluster, monkeypatch):
+    up(cluster, *[f"vm-{i}" for i in range(8)])
+    jobs = [cluster.submit(n, pieces=1) for n in range(1, 21)]
+    real = sched.place
+
+    def slow(ask, rooms):
+        cluster.clock.tick(sched.ROUND_BUDGET_S / 3)
+        return real(ask, rooms)
+
+    monkeypatch.setattr(sched, "place", slow)
+    served = []
+    for _ in range(8):
+        more = cluster.scheduler.round()
+        served.append(sum(bool(j.active) for j in jobs))
+        up(cluster, *[f"vm-{i}" for i in range(8)])
+        if not more:
+            break
+    assert served[0] < 20 and served[-1] == 20 and served == sorted(served)
+
+
+def test_a_broken_gang_is_stopped_and_starts_whole_again(cluster):
+    up(cluster, "vm-1")
+    up(cluster, "vm-2")
+    gang = cluster.submit(1, shape="ensemble", pieces=2, cards=4.0)
+    cluster.scheduler.round()
+    cluster.store()
+    for n in ("vm-1", "vm-2"):
+        cluster.beat(n)
+        t = next(a.task for a in gang.active.values() if a.machine == n)
+        cluster.beat(n, [(f"{gang.ref}/{t}", 1, "running", None)])
+    cluster.fleet.gone(cluster.fleet.machines["vm-1"], "deleted")
+    cluster.scheduler.round()
+    (left,) = gang.active.values()
+    assert left.stop_grace == 0.0
+    cluster.beat("vm-2", [(f"{gang.ref}/{left.task}", 1, "exited", "mates_gone")])
+    up(cluster, "vm-3")
+    cluster.scheduler.round()
+    assert {a.attempt for a in gang.active.values()} == {2} and len(gang.active) == 2
