--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -79,11 +79,10 @@
         "name",
         "notice_at",
         "phase",
-        "rate",
         "rented_at",
         "silent",
         "slow",
-        "spec_type",
+        "solid_at",
         "spot",
         "strays",
         "tenure",
@@ -120,6 +119,7 @@
         self.slow = 0.0
         self.expired = False
         self.silent = False
+        self.solid_at = -1e9  # when it last had work that can't go to cheap machines
 
 
 class Fleet:
@@ -136,6 +136,7 @@
         self.type_info: list[MachineType | None] = []
         self.machines: dict[str, Machine] = {}
         self.by_index: list[Machine] = []
+        self.deleted: set[str] = set()  # confirmed; late lists still name them
         self.began: float | None = None
         self.token = 0
         self.wake: Callable[[], None] = lambda: None
@@ -149,6 +150,7 @@
         """Forget everything: a new leader believes records, lists and reports only."""
         self.machines.clear()
         self.by_index.clear()
+        self.deleted.clear()
         self.began = None
         self.token = token
         for job in self.table.open.values():
@@ -226,12 +228,14 @@
         """A start is shown to be gone."""
         m = self.machines.get(a.machine)
         if m is not None:
+            if job.spec is not None and not job.spec.spot:
+                m.solid_at = self.clock()
             m.entries.pop((job.ref, a.task), None)
             if not m.entries:
                 m.idle_since = self.clock()
         if job.active.get(a.task) is a:
             job.remove(a.task)
-        if why != "done":
+        if log.isEnabledFor(logging.DEBUG):
             log.debug("%s/%d attempt %d left %s: %s", job.ref, a.task, a.attempt, a.machine, why)
         self.wake()
 
@@ -246,6 +250,7 @@
         self.drop_all(m, why)
         self.become(m, Phase.GONE, why)
         self.machines.pop(m.name, None)
+        self.deleted.add(m.name)
 
     # -- images --------------------------------------------------------------------------------
 
@@ -330,6 +335,7 @@
             return True
         job, a = entry
         if t.phase != a.phase:
+            log.debug("%s attempt %d on %s: %s", t.piece, t.attempt, m.name, t.phase)
             a.phase = t.phase
             if t.phase in ("waiting", "running") and job.spec is not None:
                 self._has_image(m, job.image, job.spec.image_gb)
--- a/hookwall/jobs.py
+++ b/hookwall/jobs.py
@@ -384,6 +384,7 @@
                 await self.refresh(key)
                 return self._state(self.table.jobs[spec.ref])
             self.table.apply(key, record, stamp)
+            log.debug("%s accepted: %s, %d tasks, image %s", spec.ref, spec.job_class, spec.tasks, spec.image)
             return 201, wire.job_answer(spec.ref, "pending"), None
         except (Refused, Unknown, TimeoutError, KeyError):
             return later("state service")
--- a/hookwall/settings.py
+++ b/hookwall/settings.py
@@ -80,10 +80,6 @@
     objectives: list[Objective] = []
     machine_limits: MachineLimits = MachineLimits()
 
-    def cost_matters(self) -> bool:
-        """Whether the operator has stated an aim about money; without one, readiness comes first."""
-        return any(o.kind in ("price", "useful") for o in self.objectives)
-
 
 class Settings(msgspec.Struct, frozen=True):
     node_name: str
