--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -111,6 +111,7 @@
 SMOOTH_S = 60.0  # time constant of the smoothed need
 SOLID_Z = 1.5  # margin of ordinary machines, in roots of the mean need
 TOTAL_Z = 1.0  # margin of all machines
+FIRM_Z = 3.0  # the same where a guarantee has to start sooner than a machine boots
 QUIET_S = 20.0  # without any job for this long, nothing stands ready
 KEEP_IDLE_S = 25.0
 DEAR = 2.5  # a pool is no substitute for another that costs so much less
@@ -349,8 +350,10 @@
         ms = self.mean_solid / unit
         t.solid = unit * max(solid / unit, ms + SOLID_Z * math.sqrt(ms))
         total = (self.mean_solid + self.mean_other) / unit
-        t.total = unit * max((solid + other) / unit, total + TOTAL_Z * math.sqrt(total))
-        t.total = max(t.total, t.solid, self.firm_floor())
+        floor = self.firm_floor()
+        z = FIRM_Z if floor else TOTAL_Z
+        t.total = unit * max((solid + other) / unit, total + z * math.sqrt(total))
+        t.total = max(t.total, t.solid, floor)
         self.targets = t
 
     def firm_floor(self) -> float:
