--- a/hookwall/placement.py
+++ b/hookwall/placement.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 EPS = 1e-6
 
@@ -202,4 +202,16 @@
         got = _zones(ask, warm, whole=True)
         if got:
             return got
-    return _zones(ask, fit, whole=ask.gang)
+    if ask.gang or ask.one_zone or ask.spread or not warm:
+        return _zones(ask, fit, whole=ask.gang)
+    # No shape serves the whole array, so its tasks go in portions, best shapes first: each task
+    # on a machine without the image waits for a fetch.
+    result: dict[int, int] = {}
+    left = ask.count
+    cold = [r for r in fit if ask.image not in r.warm]
+    for shape in ([r for r in warm if r.spot], [r for r in warm if not r.spot], cold):
+        if left > 0 and shape:
+            for index, n in _fit(replace(ask, count=left), shape, whole=False):
+                result[index] = result.get(index, 0) + n
+                left -= n
+    return list(result.items())
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -106,3 +106,9 @@
             zones[r.zone] = zones.get(r.zone, 0) + n
         assert not a.one_zone or len(zones) <= 1
         assert not a.spread or all(n <= (a.total + 1) // 2 for n in zones.values())
+
+
+def test_an_array_that_no_shape_serves_starts_where_its_image_is():
+    # Filling the tightest machines first put most tasks of a wide array behind a fetch.
+    rooms = [room(0, 2), room(1, 4, warm=[7]), room(2, 4, spot=True, warm=[7]), room(3, 8)]
+    assert place(ask(10, gang=False, image=7, spot=True), rooms) == [(2, 4), (1, 4), (0, 2)]
