--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -18,6 +19,8 @@
 ROUND_BUDGET_S = 0.03
 MOST_DIRTY = 60
 HOLD_AFTER_S = 1.0
+KEEP_Z = 1.3  # how many machines are kept for whole-machine jobs, in roots of their mean need
+SMOOTH_S = 90.0
 
 
 @dataclass(slots=True)
@@ -44,6 +47,7 @@
     rooms: dict[int, Room] = field(default_factory=dict)
     usage: dict[int, Usage] = field(default_factory=dict)
     held: dict[int, str] = field(default_factory=dict)
+    kept: set[int] = field(default_factory=set)
 
 
 class Scheduler:
@@ -55,6 +59,9 @@
         self.resume: tuple | None = None
         self.waiting: dict[str, Waiting] = {}
         self.dirty_count: Callable[[], int] = lambda: 0
+        self.mean_whole = 0.0
+        self.whole_rank = self.last_whole_rank = -1
+        self.kept_at = -1e9
         self.value_bytes = params.state.value_kb * 1024
 
     # -- the picture ---------------------------------------------------------------------------
@@ -153,6 +160,7 @@
         if self.resume is not None:
             start = next((i for i, q in enumerate(queue) if q[0] >= self.resume), 0)
         p = self.picture(now)
+        self._keep(p, now)
         self.resume = None
         for i in range(start, len(queue)):
             key, job = queue[i]
@@ -205,7 +213,13 @@
             r for i, r in p.rooms.items()
             if p.held.get(i, job.ref) == job.ref and job.errors.get(self.fleet.by_index[i].name, 0) < 2
         ]  # fmt: skip
-        got = place(ask, rooms)
+        got: list[tuple[int, int]] = []
+        if p.kept and job.rank <= self.whole_rank and not self._whole(job):
+            got = place(ask, [r for r in rooms if r.index not in p.kept])
+            if firm and sum(n for _, n in got) < count:
+                got = place(ask, rooms)
+        else:
+            got = place(ask, rooms)
         placed = sum(n for _, n in got)
         if placed:
             tasks = job.pending(placed)
@@ -253,6 +267,49 @@
         room.memory -= spec.memory * n
         room.warm = {*room.warm, job.image}
 
+    def _whole(self, job: Job) -> bool:
+        """Whether each task needs most of an ordinary machine."""
+        spec = job.spec
+        if spec is None or spec.spot:
+            return False
+        for i, info in enumerate(self.fleet.type_info):
+            if info is not None and (job.types is None or i in job.types):
+                if 2 * spec.gpus > info.gpus > 0 or 2 * spec.cpus > info.cpus or 2 * spec.memory > info.memory:
+                    continue
+                return False
+        return True
+
+    def _keep(self, p: Picture, now: float) -> None:
+        """Keep some machines for jobs that need one whole and that may stop nobody.
+
+        Small tasks of the same rank fit anywhere and refill each GPU that is freed, so under load no
+        ordinary machine ever becomes empty. As many are kept as such jobs' need is likely to vary.
+        """
+        need = 0
+        self.whole_rank = -1
+        for job in self.table.open.values():
+            if job.phase == OPEN and self._whole(job):
+                need += job.tasks - job.n_done
+                self.whole_rank = max(self.whole_rank, job.rank)
+        f = 1.0 - math.exp(-min(30.0, max(0.0, now - self.kept_at)) / SMOOTH_S)
+        self.kept_at = now
+        self.mean_whole += f * (need - self.mean_whole)
+        if self.mean_whole < 0.5:
+            return
+        if self.whole_rank < 0:
+            self.whole_rank = self.last_whole_rank
+        self.last_whole_rank = self.whole_rank
+        left = math.ceil(KEEP_Z * math.sqrt(self.mean_whole))
+        spare = [
+            r for r in p.rooms.values()
+            if not r.spot and r.index not in p.held and not self._has_whole(r.index)
+        ]  # fmt: skip
+        spare.sort(key=lambda r: (-r.gpus, -r.cpus, r.index))
+        p.kept = {r.index for r in spare[:left]}
+
+    def _has_whole(self, index: int) -> bool:
+        return any(self._whole(j) for j, _ in self.fleet.by_index[index].entries.values())
+
     def _reserve(self, job: Job, ask: Ask, p: Picture) -> None:
         """Keep later jobs off the machines that a waiting gang will get first.
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -117,3 +117,18 @@
     up(cluster, "vm-3")
     cluster.scheduler.round()
     assert {a.attempt for a in gang.active.values()} == {2} and len(gang.active) == 2
+
+
+def test_some_machines_are_kept_for_gangs_that_need_one_whole(cluster):
+    """Small tasks of the same rank refill each GPU that is freed: a gang waited for minutes under load."""
+    up(cluster, "vm-1", "vm-2")
+    gang = cluster.submit(1, shape="ensemble", cards=4.0)
+    for _ in range(60):
+        cluster.clock.tick(5.0)
+        up(cluster, "vm-1", "vm-2")
+        cluster.scheduler.round()
+    assert len(gang.active) == 1
+    cluster.submit(2, pieces=8)
+    cluster.scheduler.round()
+    used = {m.name for m in cluster.fleet.machines.values() if m.entries}
+    assert used == {gang.active[0].machine}
