--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -43,7 +43,7 @@
     def __init__(self, address: str, rps: float, clock: Callable[[], float]) -> None:
         self.base = f"http://{address}"
         self.session: aiohttp.ClientSession | None = None
-        self.bucket = Bucket(rps * 0.85, max(1.0, rps), clock)
+        self.bucket = Bucket(rps * 0.9, max(1.0, rps * 1.5), clock)
 
     async def open(self) -> None:
         self.session = aiohttp.ClientSession(
@@ -151,6 +151,8 @@
         self.closed: dict[Pool, tuple[float, float]] = {}  # pool -> (not before, pause)
         self.listed_once = False
         self.began_at = -1e9
+        # Whether nobody can have led lately, so that there are no hires and reports to wait for.
+        self.fresh: Callable[[], bool] = lambda: False
 
     def reset(self) -> None:
         """A new leadership: lists and reports tell what there is."""
@@ -188,13 +190,17 @@
         info = self.fleet.info(pool[0])
         return 1e9 if info is None else (info.spot_price if pool[2] else info.price)
 
-    def pools(self, now: float) -> list[Pool]:
-        """Kinds of machine that might be had now, cheapest first, zones with fewest machines first."""
-        fleet = self.fleet
+    def _have(self) -> dict[Pool, int]:
         have: dict[Pool, int] = {}
-        for m in fleet.machines.values():
+        for m in self.fleet.machines.values():
             pool = (m.type, m.zone, m.spot)
             have[pool] = have.get(pool, 0) + 1
+        return have
+
+    def pools(self, now: float) -> list[Pool]:
+        """Kinds of machine that might be had now, cheapest first, zones with fewest machines first."""
+        fleet = self.fleet
+        have = self._have()
         out: list[Pool] = []
         for i, info in enumerate(fleet.type_info):
             if info is None:
@@ -230,6 +236,7 @@
         """What to rent for the jobs that wait, beyond the machines that are coming."""
         coming = self.coming(now)
         pools = self.pools(now)
+        have = self._have()
         new: dict[Pool, int] = {}
 
         def more(ask: Ask, left: int) -> None:
@@ -243,7 +250,8 @@
                     room.memory -= n * ask.memory
                     left -= n
             while left > 0:
-                for pool in pools:
+                # Evenly over the zones: one that has no room then costs one refusal, not the start.
+                for pool in sorted(pools, key=lambda p: (self.price(p), have.get(p, 0) + new.get(p, 0), p)):
                     room = self._full_room(pool, -1)
                     n = min(left, units(ask, room))
                     if allowed(ask, room) and n > 0:
@@ -505,7 +513,8 @@
                 for hire in list(self.hires):
                     await self._hire(hire)
                 # A new leader first learns what there is; renting before that would double it.
-                if not self.listed_once or now - self.began_at < 4.0 or now - last_plan < 1.0:
+                settle = 0.0 if self.fresh() else 4.0
+                if not self.listed_once or now - self.began_at < settle or now - last_plan < 1.0:
                     continue
                 last_plan = now
                 plan = self.wanted(self.clock()) or self.standby(self.clock())
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -108,6 +108,7 @@
         self.hold_until = -1e9
         self.acks: dict[str, float] = {}
         self.since = -1e9
+        self.first = False  # whether there was no leader key: nobody has led for a hold's time
         self.key_node = ""
         self.key_stamp = 0
         self.key_known = False
@@ -277,6 +278,7 @@
             hold = await self.store.hold(HOLD_S)
             record = {"node": self.me, "incarnation": self.incarnation}
             token = await self.store.commit([(st.LEADER, stamp)], [(st.LEADER, record)], hold=hold)
+            self.first = stamp == 0
             self.hold, self.hold_until = hold, sent + HOLD_S * (1 - DRIFT)
             self.token = token
             self.acks.clear()
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -44,6 +44,7 @@
         self.scheduler.dirty_count = lambda: len(self._dirty())
         self.client = CloudClient(settings.external.cloud, params.cloud.rps, clock)
         self.renting = Renting(params, self.fleet, self.scheduler, self.client, clock)
+        self.renting.fresh = lambda: self.leadership.first
         self.renting.on_catalog = self._catalog
         self.leadership = Leadership(
             settings.node_name, params.size, [Peer(s) for s in settings.seeds], self.store, clock,
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -141,6 +141,7 @@
         """Decide what can be decided now. True if the round ran out of time."""
         now = self.clock()
         self._tidy(now)
+        self._measure(now)
         firm = self.guaranteed()
         queue: list[tuple[tuple, Job]] = []
         for job in self.table.open.values():
@@ -160,7 +161,7 @@
         if self.resume is not None:
             start = next((i for i, q in enumerate(queue) if q[0] >= self.resume), 0)
         p = self.picture(now)
-        self._keep(p, now)
+        self._keep(p)
         self.resume = None
         for i in range(start, len(queue)):
             key, job = queue[i]
@@ -279,12 +280,8 @@
                 return False
         return True
 
-    def _keep(self, p: Picture, now: float) -> None:
-        """Keep some machines for jobs that need one whole and that may stop nobody.
-
-        Small tasks of the same rank fit anywhere and refill each GPU that is freed, so under load no
-        ordinary machine ever becomes empty. As many are kept as such jobs' need is likely to vary.
-        """
+    def _measure(self, now: float) -> None:
+        """Follow how many machines the jobs need that take one whole."""
         need = 0
         self.whole_rank = -1
         for job in self.table.open.values():
@@ -294,11 +291,18 @@
         f = 1.0 - math.exp(-min(30.0, max(0.0, now - self.kept_at)) / SMOOTH_S)
         self.kept_at = now
         self.mean_whole += f * (need - self.mean_whole)
-        if self.mean_whole < 0.5:
-            return
         if self.whole_rank < 0:
             self.whole_rank = self.last_whole_rank
         self.last_whole_rank = self.whole_rank
+
+    def _keep(self, p: Picture) -> None:
+        """Keep some machines for jobs that need one whole and that may stop nobody.
+
+        Small tasks of the same rank fit anywhere and refill each GPU that is freed, so under load no
+        ordinary machine ever becomes empty. As many are kept as such jobs' need is likely to vary.
+        """
+        if self.mean_whole < 0.5:
+            return
         left = math.ceil(KEEP_Z * math.sqrt(self.mean_whole))
         spare = [
             r for r in p.rooms.values()
