--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -114,6 +114,7 @@
 FIRM_Z = 3.0  # the same where a guarantee has to start sooner than a machine boots
 QUIET_S = 20.0  # without any job for this long, nothing stands ready
 KEEP_IDLE_S = 25.0
+TRIM_AFTER_S = 30.0  # a new leader lets nothing go before it has seen this much
 DEAR = 2.5  # a pool is no substitute for another that costs so much less
 
 Pool = tuple[int, int, bool]  # type, zone, spot
@@ -145,6 +146,7 @@
         self.params, self.fleet, self.scheduler, self.client, self.clock = params, fleet, scheduler, client, clock
         self.targets = Targets()
         self.mean_solid = self.mean_other = 0.0
+        self.unmeasured = False
         self.measured_at = self.busy_at = -1e9
         self.serial = 0
         self.hires: list[Hire] = []
@@ -160,6 +162,7 @@
         self.closed.clear()
         self.listed_once = False
         self.targets = Targets()
+        self.unmeasured = not self.fresh()
         self.mean_solid = self.mean_other = 0.0
         self.measured_at = self.busy_at = self.clock()
         self.serial = 0
@@ -348,6 +351,12 @@
         dt = min(10.0, max(0.0, now - self.measured_at))
         self.measured_at = now
         f = 1.0 - math.exp(-dt / SMOOTH_S)
+        if self.unmeasured:
+            # A new leader goes on from what the last one measured, or from what it finds.
+            self.unmeasured = False
+            known = self.fleet.need_hint
+            self.mean_solid, self.mean_other = known if known is not None else (solid, other)
+        self.fleet.need_now = (self.mean_solid, self.mean_other)
         self.mean_solid += f * (solid - self.mean_solid)
         self.mean_other += f * (other - self.mean_other)
         unit = max((self.size_of(i) for i in range(len(self.fleet.type_info))), default=1.0) or 1.0
@@ -502,7 +511,7 @@
                 if not valid():
                     continue
                 self.measure(self.clock())
-                if self.listed_once and now - self.began_at > 20.0:
+                if self.listed_once and now - self.began_at > TRIM_AFTER_S:
                     self.trim(self.clock())
                 gone = self.to_return(self.clock())[:MOST_PER_DELETE]
                 if gone:
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -21,6 +21,7 @@
 HOLD_AFTER_S = 1.0
 KEEP_Z = 1.3  # how many machines are kept for whole-machine jobs, in roots of their mean need
 SMOOTH_S = 90.0
+SETTLED_S = 30.0  # a start that lasts this long counts for its user
 
 
 @dataclass(slots=True)
@@ -395,9 +396,11 @@
             chosen, n = self._victims(ask, room, victims, left, now)
             if n <= 0:
                 continue
-            cold = job.image not in room.warm
-            cost = sum(self._loss(o, a, now) for o, a in chosen) / n
-            options.append(((cold, cost, index), index, n, chosen))
+            info = self.fleet.info(room.type)
+            rate = info.fetch_gb_s if info is not None and info.fetch_gb_s > 0 else 1.0
+            cost = 0.0 if job.image in room.warm else spec.image_gb / rate
+            cost += sum(self._loss(o, a, now) for o, a in chosen) / n
+            options.append(((cost, index), index, n, chosen))
         options.sort(key=lambda o: o[0])
         if ask.one_zone and spec.gang:
             zone_n: dict[int, int] = {}
@@ -462,15 +465,21 @@
         return units(ask, room)
 
     def _loss(self, job: Job, a: Active, now: float) -> float:
-        """What stopping a start costs: work that is repeated, or the save."""
+        """What stopping a start costs, in seconds of somebody's time."""
         spec = job.spec
         if spec is None:
             return 0.0
-        if a.running_since < 0:
-            return 1.0
+        cost = 1.0 + spec.save_s
+        ran = now - a.running_since if a.running_since >= 0 else 0.0
         if spec.checkpoint_s <= 0:
-            return 5.0 + (now - a.running_since)
-        return 1.0 + spec.save_s
+            cost += ran
+        if a.running_since >= 0 and ran < SETTLED_S:
+            # A start that is stopped this early was none: its user still waits.
+            cost += SETTLED_S - ran
+        if spec.gang:
+            # All its tasks stop, and the next time it needs room for all of them at once.
+            cost += 30.0 * len(job.active)
+        return cost
 
     def _victims(
         self, ask: Ask, room: Room, victims: list[tuple[Job, Active]], want: int, now: float
