--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -53,7 +53,7 @@
 
     async def _send(self, method: str, path: str, body: object = None, timeout: float = 4.0) -> tuple[int, object]:
         wait = self.bucket.delay(1.0)
-        if wait > 0:
+        if wait:
             await asyncio.sleep(wait)
         assert self.session is not None
         data = msgspec.json.encode(body) if body is not None else None
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -172,7 +172,7 @@
         token = self.leadership.token
         batch: list[tuple[Job, dict, dict[int, tuple[str, int]], str, int]] = []
         size = 200
-        for job in jobs[: self.settings.settings.state.txn_ops]:
+        for job in jobs[: self.store.batch()]:
             record = job.record()
             n = len(msgspec.json.encode(record)) + 200
             if batch and size + n > BATCH_BYTES:
@@ -225,6 +225,7 @@
     # -- leading -------------------------------------------------------------------------------
 
     def _role(self, role: Role) -> None:
+        self.store.lead(role in (Role.LEADER, Role.LOADING))
         self.wake.set()
 
     def beat(self, body: bytes) -> tuple[int, bytes]:
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -17,6 +18,9 @@
 
 log = logging.getLogger("hookwall.store")
 
+MOST_WAIT_S = 1.0
+FRESH_S = 1.5
+
 ROOT = "hookwall/"
 JOBS = ROOT + "job/"
 LEADER = ROOT + "leader"
@@ -49,13 +53,24 @@
         self.rate, self.burst, self.clock = rate, burst, clock
         self.level, self.at = burst, clock()
 
-    def delay(self, cost: float) -> float:
-        """Take `cost` and say how long to wait first."""
+    def delay(self, cost: float, most: float = math.inf) -> float | None:
+        """Take `cost` and say how long to wait first; None, and nothing taken, if that is over `most`.
+
+        A refusal must cost nothing: when it did, a leader that retried a large write each quarter of
+        a second sank ever deeper into debt and never wrote again.
+        """
         now = self.clock()
         self.level = min(self.burst, self.level + (now - self.at) * self.rate)
         self.at = now
+        wait = max(0.0, (cost - self.level) / self.rate)
+        if wait > most:
+            return None
         self.level -= cost
-        return max(0.0, -self.level / self.rate)
+        return wait
+
+    def set_share(self, rate: float, burst: float) -> None:
+        """Change the pace; what has been taken stays taken."""
+        self.rate, self.burst = rate, burst
 
 
 class Store:
@@ -68,9 +83,10 @@
         self.session: aiohttp.ClientSession | None = None
         self.last_ok = -1e9
         self.bad_since: float | None = None
-        share = 1.0 if nodes <= 1 else 0.55
-        self.requests = Bucket(limits.rps * share, limits.rps * share * 0.5, clock)
-        self.writes = Bucket(limits.write_rps * share, limits.write_rps * share * 0.5, clock)
+        self.nodes = nodes
+        self.requests = Bucket(limits.rps * 0.25, limits.rps * 0.25, clock)
+        self.writes = Bucket(limits.write_rps * 0.25, limits.write_rps * 0.25, clock)
+        self.lead(False)
 
     async def open(self) -> None:
         self.session = aiohttp.ClientSession(
@@ -78,6 +94,23 @@
             auto_decompress=False,
         )
 
+    def lead(self, leading: bool) -> None:
+        """Take a leader's or a follower's share of the service's limits."""
+        if self.nodes <= 1:
+            share = 0.95
+        else:
+            share = 0.66 if leading else 0.3 / (self.nodes - 1)
+        for bucket, limit in ((self.requests, self.limits.rps), (self.writes, self.limits.write_rps)):
+            bucket.set_share(limit * share, max(2.0, limit * share * 0.7))
+
+    def batch(self) -> int:
+        """How many keys to put into one write: what the pace lets through in half a second."""
+        return max(1, min(self.limits.txn_ops, int(self.writes.rate * 0.5)))
+
+    def fresh(self) -> bool:
+        """Whether the service has answered this node within the last moments."""
+        return self.healthy() and self.clock() - self.last_ok < FRESH_S
+
     def healthy(self) -> bool:
         """Whether the last thing heard from the service was an answer."""
         return self.bad_since is None
@@ -96,13 +129,14 @@
     async def _send(
         self, method: str, path: str, body: object = None, timeout: float = 1.5, cost: float = 0.0
     ) -> tuple[int, dict]:
-        wait = self.requests.delay(1.0)
-        if cost:
-            wait = max(wait, self.writes.delay(cost))
-        if wait > 0:
-            if wait > 1.0:
-                raise Refused("own budget is used up")
-            await asyncio.sleep(wait)
+        wait = self.writes.delay(cost, MOST_WAIT_S) if cost else 0.0
+        if wait is None:
+            raise Refused("own budget is used up")
+        more = self.requests.delay(1.0, MOST_WAIT_S)
+        if more is None:
+            raise Refused("own budget is used up")
+        if max(wait, more) > 0:
+            await asyncio.sleep(max(wait, more))
         assert self.session is not None
         data = msgspec.json.encode(body) if body is not None else None
         try:
