--- a/hookwall/jobs.py
+++ b/hookwall/jobs.py
@@ -92,7 +92,6 @@
         "n_done",
         "next_attempt",
         "not_before",
-        "over_kb",
         "parked",
         "phase",
         "rank",
@@ -105,6 +104,7 @@
         "tasks",
         "team",
         "types",
+        "void",
         "waiting_since",
         "writing",
         "zone",
@@ -134,7 +134,7 @@
         self.types: frozenset[int] | None = None
         self.zone = -1
         self.waiting_since = -1.0
-        self.over_kb = False
+        self.void = False  # the record has to be taken again even if its stamp is known
 
     def final(self) -> bool:
         """Whether the stored phase is one that never changes again."""
@@ -223,7 +223,7 @@
             self.n_done = self.tasks if self.phase == DONE else 0
         self.stored_done = self.n_done
         self.cursor = 0
-        self.dirty = False
+        self.dirty = self.void = False
 
     def stored(self, stamp: int, on: dict[int, tuple[str, int]], phase: str, done: int) -> None:
         """A write of ours succeeded with this content."""
@@ -247,7 +247,7 @@
         job = self.jobs.get(ref)
         if job is None:
             job = self.jobs[ref] = Job(ref)
-        if stamp <= job.stamp:
+        if stamp < job.stamp or (stamp == job.stamp and not job.void):
             return
         if job.writing:
             job.parked = (value, stamp)
@@ -260,6 +260,16 @@
         self.note(job)
         self.on_taken(job)
 
+    def void_decisions(self) -> None:
+        """What an earlier leadership decided and did not store is to be replaced by the records.
+
+        The stamps stay: a poll that was being confirmed while a new leader loaded found stamp 0 and
+        was answered 404 for an accepted job.
+        """
+        for job in self.jobs.values():
+            if job.spec is not None or not job.final():
+                job.void, job.parked, job.writing, job.dirty = True, None, False, False
+
     def note(self, job: Job) -> None:
         """Keep the list of jobs that are not over."""
         if job.spec is not None and (job.phase == OPEN or job.active or not job.final()):
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -1,11 +1,18 @@
-"""Who may command: one leader, fenced twice.
-
-First fence: a key attached to a hold in the state service. The stamp of that key is the token, so
-tokens only rise, and each write of the leader is conditional on it. Second fence: promises. A node
-that promised its support to one leader supports no other for PROMISE_S. A leader is valid only while
-a majority has promised, counted from when it *sent* the request, and while its hold can't have
-ended. So a leader that is cut off falls silent within PROMISE_S and can be replaced, while an outage
-of the state service, which nobody can use to take over, does not end a leadership.
+"""Who may command: one leader, and what fences it.
+
+The leader is named by a key attached to a hold in the state service. The stamp of that key is the
+token, so tokens only rise, and each write of the leader is conditional on it. Without the key nobody
+is valid: a leader counts its hold from *sending* the last renewal that succeeded, less drift.
+
+The key says in which of two modes its leader is valid:
+
+- `promise`: while a majority of nodes has promised support, counted from sending the request, and the
+  long hold can't have ended. A node that promised supports no other for PROMISE_S, so such a leader
+  may be replaced, key or no key, once a majority is free; and an outage of the state service, which
+  nobody can use to take over, does not end its leadership.
+- `hold`: while its short hold can't have ended, whatever peers say. This is for nodes that do not
+  reach each other (a packet filter between them leaves all else working). Nobody replaces such a
+  leader before its key is gone.
 """
 
 import asyncio
@@ -23,7 +30,10 @@
 PROMISE_S = 5.0
 VOTE_S = 1.5
 PING_S = 1.0
-HOLD_S = 60.0
+LONG_HOLD_S = 60.0
+SHORT_HOLD_S = 8.0
+LONELY_S = 3.0  # so long without a majority, a leader gives way to those who may have one
+ALONE_S = 2.0  # so long without a leader key, a node leads without a majority
 DRIFT = 0.002  # twice the drift between two clocks, and some more
 SLACK_S = 0.05  # timers fire in steps
 
@@ -35,6 +45,11 @@
     LEADER = "leader"
 
 
+class Mode(Enum):
+    PROMISE = "promise"
+    HOLD = "hold"
+
+
 class Promise:
     """What this node has promised. In memory only: see `guarded` for what a restart may do."""
 
@@ -104,15 +119,21 @@
         self.load, self.on_change = load, on_change
         self.role = Role.FOLLOWER
         self.token = 0
+        self.mode = Mode.PROMISE
         self.hold: int | None = None
         self.hold_until = -1e9
+        self.extended_at = -1e9
         self.acks: dict[str, float] = {}
         self.since = -1e9
         self.first = False  # whether there was no leader key: nobody has led for a hold's time
         self.key_node = ""
         self.key_stamp = 0
+        self.key_mode = Mode.PROMISE
         self.key_known = False
+        self.key_gone_at = clock()
+        self.with_majority_since: float | None = None
         self.peer_state_ok: dict[str, float] = {}
+        self.peer_heard: dict[str, float] = {}
         self.peer_beats: dict[str, tuple[float, int]] = {}
         self.beats_seen = 0  # reports that reached this node lately, whoever leads
         self.last_beat = -1e9
@@ -128,10 +149,18 @@
         return self.role is Role.LEADER and self.clock() < self.valid_until()
 
     def valid_until(self) -> float:
-        sent = sorted(self.acks.values(), reverse=True)
+        """Until when this leader may command if it hears nothing more."""
+        if self.mode is Mode.HOLD:
+            return self.hold_until - SLACK_S
+        return min(self.promised_until(), self.hold_until) - SLACK_S
+
+    def promised_until(self) -> float:
+        """Until when a majority, this node included, is bound by its promises."""
         need = self.majority - 1  # this node's own promise is in `self.promise`
-        promised = 1e18 if need == 0 else (sent[need - 1] if len(sent) >= need else -1e9) + PROMISE_S * (1 - DRIFT)
-        return min(promised, self.hold_until) - SLACK_S
+        if need == 0:
+            return 1e18
+        sent = sorted(self.acks.values(), reverse=True)
+        return sent[need - 1] + PROMISE_S * (1 - DRIFT) if len(sent) >= need else -1e9
 
     def leader_name(self) -> str | None:
         """Who leads, as far as this node knows."""
@@ -139,11 +168,19 @@
             return self.me
         if self.promise.holder != self.me and self.clock() < self.promise.until and self.promise.token:
             return self.promise.holder
+        if self.key_stamp and self.key_mode is Mode.HOLD and self.key_node != self.me:
+            return self.key_node
         return None
 
-    def state_ok_elsewhere(self) -> bool:
-        """Whether a peer has lately said that the state service answers it."""
-        return any(self.clock() - t < 3.0 for t in self.peer_state_ok.values())
+    def all_as_badly_off(self) -> bool:
+        """Whether peers answer and none of them has the state service: an outage, not our own trouble.
+
+        A node that hears nothing from peers either has to count its trouble as its own, or users with
+        open connections to it would be told 503 for as long as it lasts.
+        """
+        now = self.clock()
+        heard = any(now - t < 3.0 for t in self.peer_heard.values())
+        return heard and not any(now - t < 3.0 for t in self.peer_state_ok.values())
 
     # -- changes of state --------------------------------------------------------------------
 
@@ -166,11 +203,16 @@
         self.next_try = self.clock() + 1.0
         self._become(Role.FOLLOWER, why)
 
-    def saw_key(self, node: str, stamp: int) -> None:
-        """The leader key as the state service has it (from a read or the watch)."""
+    def saw_key(self, value: object, stamp: int) -> None:
+        """The leader key as the state service has it (from a read or the watch); stamp 0: none."""
         if stamp and stamp < self.key_stamp:
             return
+        v = value if isinstance(value, dict) else {}
+        node = str(v.get("node", ""))
+        if not stamp and (self.key_stamp or not self.key_known):
+            self.key_gone_at = self.clock()
         self.key_node, self.key_stamp, self.key_known = node, stamp, True
+        self.key_mode = Mode.HOLD if v.get("mode") == Mode.HOLD.value else Mode.PROMISE
         self.promise.seen_key = (node, stamp)
         if stamp and node != self.me:
             self.promise.token = max(self.promise.token, stamp)
@@ -207,9 +249,10 @@
                 self.next_try = 0.0
             ok = True
         beats = self.beats_seen if self.clock() - self.last_beat < 3.0 else 0
-        return {"ok": ok, "sok": self.store.healthy(), "top": self.promise.token, "beats": beats}
+        return {"ok": ok, "sok": self.store.fresh(), "top": self.promise.token, "beats": beats}
 
     def _note(self, peer: Peer, answer: dict) -> None:
+        self.peer_heard[peer.name] = self.clock()
         if answer.get("sok"):
             self.peer_state_ok[peer.name] = self.clock()
         else:
@@ -221,7 +264,7 @@
         leading = self.role in (Role.LEADER, Role.LOADING)
         token = self.token if leading else 0
         sent = self.clock()
-        message = {"t": "ping", "n": self.me, "tok": token, "sok": self.store.healthy()}
+        message = {"t": "ping", "n": self.me, "tok": token, "sok": self.store.fresh()}
         if leading:
             message["hint"] = self.hint()
         answer = await peer.call(message, timeout=1.5)
@@ -238,22 +281,48 @@
         while True:
             for peer in self.peers:
                 asyncio.get_running_loop().create_task(self._ping(peer))
-            if self.role in (Role.LEADER, Role.LOADING) and not self.promise.renew(self.me, self.token):
+            leading = self.role in (Role.LEADER, Role.LOADING)
+            if leading and not self.promise.renew(self.me, self.token) and self.mode is Mode.PROMISE:
                 self.step_down("own promise is with another node")
             await asyncio.sleep(PING_S)
 
+    async def probe_loop(self) -> None:
+        """Keep knowing whether the state service answers this node, and whom the key names.
+
+        An open watch says nothing in an outage, and a peer that believed the service to be well made
+        a leader resign to it for nothing.
+        """
+        while True:
+            await asyncio.sleep(0.5)
+            if self.clock() - self.store.last_ok < 0.8:
+                continue
+            try:
+                got = await self.store.get(st.LEADER)
+            except (Refused, Unknown):
+                continue
+            if got is None and self.role is Role.FOLLOWER:
+                self.saw_key({}, 0)
+            elif got is not None:
+                self.saw_key(*got)
+
     # -- becoming and staying leader ---------------------------------------------------------
 
+    def _unfenced(self) -> bool:
+        """Whether the key, as last read, shows that no other node can be valid.
+
+        It is gone, or it names an earlier process of this node, or a leadership that it gave up.
+        """
+        return self.key_known and (self.key_stamp == 0 or self.key_node == self.me)
+
     def _may_campaign(self) -> bool:
         now = self.clock()
         if now < self.next_try or not self.key_known or not self.store.healthy():
             return False
-        if self.key_stamp == 0:
-            return self.promise.free_for(self.me)
-        if self.key_node == self.me:
-            # An earlier process of this node, or a leadership given up: nobody else holds the key.
-            return self.promise.free_for(self.me)
-        return self.promise.free_for(self.me) and not self.promise.guarded()
+        if not self.promise.free_for(self.me):
+            return False
+        if self._unfenced():
+            return True
+        return self.key_mode is Mode.PROMISE and not self.promise.guarded()
 
     async def _campaign(self) -> None:
         self._become(Role.CANDIDATE, "no valid leader is known")
@@ -261,8 +330,8 @@
         try:
             got = await self.store.get(st.LEADER)
             value, stamp = got if got is not None else ({}, 0)
-            self.saw_key(str(value.get("node", "")) if isinstance(value, dict) else "", stamp)
-            if not self.promise.vote(self.me):
+            self.saw_key(value, stamp)
+            if not self._may_campaign() or not self.promise.vote(self.me):
                 return
             answers = await asyncio.gather(
                 *(p.call({"t": "vote", "n": self.me, "sok": True}, timeout=0.7) for p in self.peers)
@@ -271,20 +340,29 @@
             for peer, a in zip(self.peers, answers, strict=True):
                 if a is not None:
                     self._note(peer, a)
+            mode = Mode.PROMISE
             if votes < self.majority:
-                log.debug("campaign: %d votes", votes)
-                return
+                # A peer that answers could form a majority with this node or another, so it decides.
+                heard = any(a is not None for a in answers)
+                gone_for = self.clock() - (self.key_gone_at if stamp == 0 else self.promise.started)
+                if heard or not self._unfenced() or gone_for < ALONE_S:
+                    log.debug("campaign: %d votes", votes)
+                    return
+                mode = Mode.HOLD
+            ttl = LONG_HOLD_S if mode is Mode.PROMISE else SHORT_HOLD_S
             sent = self.clock()
-            hold = await self.store.hold(HOLD_S)
-            record = {"node": self.me, "incarnation": self.incarnation}
+            hold = await self.store.hold(ttl)
+            record = {"node": self.me, "incarnation": self.incarnation, "mode": mode.value}
             token = await self.store.commit([(st.LEADER, stamp)], [(st.LEADER, record)], hold=hold)
             self.first = stamp == 0
-            self.hold, self.hold_until = hold, sent + HOLD_S * (1 - DRIFT)
+            self.mode = mode
+            self.hold, self.hold_until, self.extended_at = hold, sent + ttl * (1 - DRIFT), sent
             self.token = token
             self.acks.clear()
-            self.saw_key(self.me, token)
+            self.with_majority_since = None
+            self.saw_key(record, token)
             self.promise.renew(self.me, token)
-            self._become(Role.LOADING, f"{votes} votes")
+            self._become(Role.LOADING, f"{votes} votes, mode {mode.value}")
             await asyncio.gather(*(self._ping(p) for p in self.peers))
             await self.load()
             if self.role is Role.LOADING:
@@ -311,36 +389,65 @@
         for p in self.peers:
             asyncio.get_running_loop().create_task(p.call(message))
 
+    async def _give_up_key(self, why: str, pause: float) -> None:
+        """Stop commanding, then remove the key, so that whoever can lead need not wait."""
+        hold = self.hold
+        self.step_down(why)
+        self.next_try = self.clock() + pause
+        if hold is not None:
+            try:
+                await self.store.drop(hold)
+            except (Refused, Unknown) as e:
+                log.debug("could not drop the hold: %s", e)
+
+    async def _renew_hold(self, now: float) -> None:
+        """Renew the hold in time for the mode."""
+        every, ttl = (5.0, LONG_HOLD_S) if self.mode is Mode.PROMISE else (2.0, SHORT_HOLD_S)
+        if now - self.extended_at < every or self.hold is None:
+            return
+        self.extended_at = now
+        try:
+            if await self.store.extend(self.hold):
+                self.hold_until = now + ttl * (1 - DRIFT)
+            else:
+                self.step_down("the hold has ended")
+        except (Refused, Unknown):
+            self.extended_at = now - every + 1.0
+
     async def run(self, machines_expected: Callable[[], bool]) -> None:
         """Campaign when nobody leads; renew the hold and look after the own fitness while leading."""
-        last_extend = -1e9
         await asyncio.sleep(0.2 * self.rank)
         while True:
             await asyncio.sleep(0.2)
-            now = self.clock()
-            if self.role is Role.FOLLOWER:
-                if self._may_campaign():
-                    await self._campaign()
-                    last_extend = self.clock()
-                continue
-            if self.role is not Role.LEADER:
-                continue
-            if now - last_extend >= 5.0 and self.hold is not None:
-                last_extend = now
-                try:
-                    if await self.store.extend(self.hold):
-                        self.hold_until = now + HOLD_S * (1 - DRIFT)
-                    else:
-                        self.step_down("the hold has ended")
-                except (Refused, Unknown):
-                    last_extend = now - 4.0
-            bad = self.store.bad_since
-            if bad is not None and now - bad > 2.5:
-                fit = [n for n, t in self.peer_state_ok.items() if now - t < 1.6]
-                if fit:
-                    await self.resign(min(fit), "only this node lacks the state service")
-                    continue
-            if machines_expected() and now - self.last_beat > 4.0 and now - self.since > 4.0:
-                fit = [n for n, (t, k) in self.peer_beats.items() if now - t < 1.6 and k > 0]
-                if fit:
-                    await self.resign(min(fit), "no worker reaches this node")
+            if self.role is Role.FOLLOWER and self._may_campaign():
+                await self._campaign()
+            if self.role is Role.LEADER:
+                await self._renew_hold(self.clock())
+            if self.role is Role.LEADER:
+                await self._look_after(self.clock(), machines_expected())
+
+    async def _look_after(self, now: float, machines_expected: bool) -> None:
+        """Give way where another node could lead better."""
+        majority = self.promised_until() - now > PROMISE_S - LONELY_S
+        if self.mode is Mode.PROMISE and not majority and now - self.since > LONELY_S:
+            if self.store.fresh():
+                await self._give_up_key("no majority answers", pause=1.0)
+            return
+        if self.mode is Mode.HOLD:
+            if not majority:
+                self.with_majority_since = None
+            elif self.with_majority_since is None:
+                self.with_majority_since = now
+            elif now - self.with_majority_since > 5.0:
+                await self._give_up_key("a majority answers again", pause=0.0)
+            return
+        bad = self.store.bad_since
+        if bad is not None and now - bad > 2.5:
+            fit = [n for n, t in self.peer_state_ok.items() if now - t < 1.6]
+            if fit:
+                await self.resign(min(fit), "only this node lacks the state service")
+                return
+        if machines_expected and now - self.last_beat > 4.0 and now - self.since > 4.0:
+            fit = [n for n, (t, k) in self.peer_beats.items() if now - t < 1.6 and k > 0]
+            if fit:
+                await self.resign(min(fit), "no worker reaches this node")
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -44,7 +44,7 @@
         self.scheduler.dirty_count = lambda: len(self._dirty())
         self.client = CloudClient(settings.external.cloud, params.cloud.rps, clock)
         self.renting = Renting(params, self.fleet, self.scheduler, self.client, clock)
-        self.renting.fresh = lambda: self.leadership.first
+        self.renting.fresh = lambda: self.leadership.first and self.no_catalog
         self.renting.on_catalog = self._catalog
         self.leadership = Leadership(
             settings.node_name, params.size, [Peer(s) for s in settings.seeds], self.store, clock,
@@ -54,6 +54,7 @@
         self.leadership.on_hint = self.fleet.take_hint
         self.table.on_taken = self._taken
         self.loaded = False
+        self.no_catalog = False  # whether nobody had ever stored the machine types when this node took over
         self.wake = asyncio.Event()
         self.write_wake = asyncio.Event()
         self.fleet.wake = self.wake.set
@@ -69,7 +70,7 @@
             self.table.apply(key, value, stamp)
         elif key == st.LEADER:
             if stamp >= self.leadership.key_stamp:
-                self.leadership.saw_key(str(value.get("node", "")) if isinstance(value, dict) else "", stamp)
+                self.leadership.saw_key(value, stamp)
         elif key == st.CATALOG and not self.leadership.valid():
             try:
                 self._set_catalog(wire.convert(value, Catalog))
@@ -88,20 +89,18 @@
             leader = leader or key == st.LEADER
             self._take_key(key, value, stamp)
         if not leader and self.leadership.key_stamp <= epoch:
-            self.leadership.saw_key("", 0)
+            self.leadership.saw_key({}, 0)
         self.epoch = epoch
         self.loaded = True
 
     async def _load(self) -> None:
         """A new leader's picture starts from the records as they are after its key was written."""
-        for job in self.table.jobs.values():
-            if job.spec is not None or not job.final():
-                # What an earlier leadership of this process decided and did not store is void.
-                job.stamp, job.parked, job.writing, job.dirty = 0, None, False, False
+        self.table.void_decisions()
         found, _ = await self.store.scan(st.ROOT)
         for key, value, stamp in found:
             if key != st.LEADER:
                 self._take_key(key, value, stamp)
+        self.no_catalog = all(key != st.CATALOG for key, _, _ in found)
         self.fleet.reset(self.leadership.token)
         self.scheduler.waiting.clear()
         self.renting.reset()
@@ -121,7 +120,7 @@
                     if isinstance(e.get("set"), str):
                         self._take_key(e["set"], e.get("value"), stamp)
                     elif e.get("delete") == st.LEADER and stamp > self.leadership.key_stamp:
-                        self.leadership.saw_key("", 0)
+                        self.leadership.saw_key({}, 0)
                 await asyncio.sleep(0.1 if self.leadership.role is Role.LEADER else 0.25)
             except TooOld:
                 self.loaded = False
@@ -251,8 +250,10 @@
         return 200, msgspec.json.encode(wire.BeatAnswer(lead.token, orders))
 
     def up(self) -> bool:
-        """Healthy while this node can serve users, or while no other node could either."""
-        return self.loaded and (self.store.healthy() or not self.leadership.state_ok_elsewhere())
+        """Healthy while this node can serve users, or while it knows that no other node could either."""
+        if not self.loaded:
+            return False
+        return self.store.healthy() or self.leadership.all_as_badly_off()
 
     async def round_loop(self) -> None:
         """Rounds of decisions while this node leads."""
@@ -298,6 +299,7 @@
             "write": self.write_loop,
             "round": self.round_loop,
             "ping": lead.ping_loop,
+            "probe": lead.probe_loop,
             "lead": lambda: lead.run(lambda: bool(self.fleet.machines)),
             "rent": lambda: self.renting.run(lead.valid, lambda: lead.token),
         }
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -36,6 +36,13 @@
     def healthy(self) -> bool:
         return self.mode != "down"
 
+    def fresh(self) -> bool:
+        return self.mode == "ok"
+
+    async def drop(self, hold):
+        self._enter("drop")
+        self.keys.pop("hookwall/leader", None)
+
     def _enter(self, what: str) -> None:
         self.requests.append(what)
         if self.mode == "down":
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -77,6 +77,29 @@
     assert play(nodes, script) == ["withdrawn", "withdrawn"]
 
 
+def test_a_poll_that_is_confirmed_while_a_new_leader_loads_is_not_answered_404(nodes):
+    async def script(a, b):
+        await a.submit(body(1))
+        poll = asyncio.create_task(a.get("run-000001"))
+        await asyncio.sleep(0.01)
+        a.table.void_decisions()
+        return (await poll)[0]
+
+    assert play(nodes, script) == 200
+
+
+def test_a_new_leader_takes_the_records_again_even_if_it_knows_their_stamps(nodes, clock):
+    async def script(a, b):
+        await a.submit(body(1))
+        job = a.table.jobs["run-000001"]
+        job.next_attempt, job.dirty = 7, True
+        a.table.void_decisions()
+        await a.refresh("hookwall/job/run-000001")
+        return job.next_attempt, job.dirty
+
+    assert play(nodes, script) == (1, False)
+
+
 def test_404_is_confirmed_too(nodes):
     async def script(a, b):
         before = await b.get("run-000001")
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hookwall import store as st
-from hookwall.leadership import PROMISE_S, Leadership, Promise, Role
+from hookwall.leadership import ALONE_S, LONELY_S, PROMISE_S, SHORT_HOLD_S, Leadership, Mode, Promise, Role
 
 
 @pytest.fixture
@@ -77,7 +77,7 @@
     peers = [ScriptedPeer(f"n{i + 1}", a) for i, a in enumerate(answers)]
     lead = Leadership("n0", 3, peers, state, clock, load, lambda role: None)
     clock.tick(PROMISE_S * 2)
-    lead.saw_key("", 0)
+    lead.saw_key({}, 0)
     return lead
 
 
@@ -132,7 +132,7 @@
 def test_a_leader_whose_key_was_replaced_steps_down(state, clock):
     lead = make(state, clock, [yes, yes])
     asyncio.run(lead._campaign())
-    lead.saw_key("n2", lead.token + 5)
+    lead.saw_key({"node": "n2"}, lead.token + 5)
     assert lead.role is Role.FOLLOWER and not lead.valid()
 
 
@@ -153,12 +153,69 @@
     state.keys[st.LEADER] = ({"node": "n0"}, 3)
     lead = make(state, clock, [yes, yes])
     lead.promise.started = clock()
-    lead.saw_key("n0", 3)
+    lead.saw_key({"node": "n0"}, 3)
     assert lead._may_campaign()
-    lead.saw_key("n1", 4)
+    lead.saw_key({"node": "n1"}, 4)
     assert not lead._may_campaign()
 
 
+def test_nodes_that_do_not_reach_each_other_are_led_by_the_hold_alone(state, clock):
+    """A packet filter between the nodes left everything else working, and nobody led for a whole day."""
+    lead = make(state, clock, [silent, silent])
+    asyncio.run(lead._campaign())
+    assert lead.role is Role.FOLLOWER, "those who may reach each other come first"
+    clock.tick(ALONE_S + 1)
+    asyncio.run(lead._campaign())
+    assert lead.role is Role.LEADER and lead.mode is Mode.HOLD and lead.valid()
+    clock.tick(SHORT_HOLD_S)
+    assert not lead.valid()
+
+
+def test_a_peer_that_answers_prevents_leading_alone(state, clock):
+    lead = make(state, clock, [no, silent])
+    clock.tick(60.0)
+    asyncio.run(lead._campaign())
+    assert lead.role is Role.FOLLOWER
+
+
+def test_a_leader_by_hold_is_not_replaced_before_its_key_is_gone(state, clock):
+    state.epoch = 9
+    state.keys[st.LEADER] = ({"node": "n2", "mode": "hold"}, 9)
+    lead = make(state, clock, [yes, yes])
+    lead.saw_key(*state.keys[st.LEADER])
+    clock.tick(60.0)
+    assert not lead._may_campaign()
+    # Also when this node had only known of an older key.
+    lead.saw_key({"node": "n2"}, 9)
+    asyncio.run(lead._campaign())
+    assert lead.role is Role.FOLLOWER and state.keys[st.LEADER][1] == 9
+
+
+def test_a_leader_without_majority_removes_its_key(state, clock):
+    lead = make(state, clock, [yes, silent])
+    asyncio.run(lead._campaign())
+    clock.tick(LONELY_S + 0.5)
+    asyncio.run(lead._look_after(clock(), True))
+    assert lead.role is Role.FOLLOWER and st.LEADER not in state.keys
+
+
+def test_in_an_outage_nobody_resigns_to_a_peer_that_is_as_badly_off(state, clock):
+    def deaf(message):
+        return {"ok": True, "sok": False, "top": 0}
+
+    lead = make(state, clock, [yes, yes])
+    asyncio.run(lead._campaign())
+    for p in lead.peers:
+        p.answer = deaf
+    state.mode, state.bad_since = "down", clock()
+    for _ in range(4):
+        clock.tick(1.0)
+        asyncio.run(lead._ping(lead.peers[0]))
+        asyncio.run(lead._ping(lead.peers[1]))
+        asyncio.run(lead._look_after(clock(), False))
+    assert lead.valid()
+
+
 def test_a_leader_refuses_to_vote(state, clock):
     lead = make(state, clock, [yes, yes])
     asyncio.run(lead._campaign())
