--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -108,8 +108,8 @@
         raise Trouble(f"malformed: {e}") from None
 
 
-SMOOTH_S = 60.0  # time constant of the smoothed need
-SOLID_Z = 1.5  # margin of ordinary machines, in roots of the mean need
+SMOOTH_S = 60.0  # time constant of the smoothed arrivals
+SOLID_Z = 1.2  # margin of ordinary machines, in standard deviations of need while one boots
 TOTAL_Z = 1.0  # margin of all machines
 FIRM_Z = 3.0  # the same where a guarantee has to start sooner than a machine boots
 QUIET_S = 20.0  # without any job for this long, nothing stands ready
@@ -145,7 +145,8 @@
     ) -> None:
         self.params, self.fleet, self.scheduler, self.client, self.clock = params, fleet, scheduler, client, clock
         self.targets = Targets()
-        self.mean_solid = self.mean_other = 0.0
+        self.rate_solid = self.rate_other = 0.0  # arrivals, in the unit of demand a second
+        self.counted: set[str] = set()
         self.unmeasured = False
         self.measured_at = self.busy_at = -1e9
         self.serial = 0
@@ -163,7 +164,8 @@
         self.listed_once = False
         self.targets = Targets()
         self.unmeasured = not self.fresh()
-        self.mean_solid = self.mean_other = 0.0
+        self.rate_solid = self.rate_other = 0.0
+        self.counted.clear()
         self.measured_at = self.busy_at = self.clock()
         self.serial = 0
         self.began_at = self.clock()
@@ -331,48 +333,80 @@
         return best
 
     def measure(self, now: float) -> None:
-        """Follow what is needed: smoothed need, and a margin that grows with its root.
+        """Follow what is needed now, and how fast jobs arrive.
 
-        Arrivals are independent, so need varies about its mean by about the root of the number of
-        machines; a boot and a fetch take longer than most aims, so the margin has to stand ready.
+        A machine rented now serves after a boot and a fetch. Until then as many jobs may arrive and
+        end as do on average, give or take the root of their number; that has to stand ready. When
+        arrivals stop, so does the reason for it, whatever still runs.
         """
         solid = other = 0.0
+        horizon = 0.0
+        decay = math.exp(-min(10.0, max(0.0, now - self.measured_at)) / SMOOTH_S)
+        self.measured_at = now
+        if self.unmeasured and self.fleet.rate_hint is not None:
+            # A new leader goes on from what the last one measured.
+            self.rate_solid, self.rate_other = self.fleet.rate_hint
+        self.rate_solid *= decay
+        self.rate_other *= decay
         for job in self.fleet.table.open.values():
             if job.phase != OPEN or job.spec is None:
                 continue
             w = self.scheduler.waiting.get(job.ref)
-            n = (len(job.active) + (w.count if w is not None else 0)) * self.weight(job)
+            count = len(job.active) + (w.count if w is not None else 0)
+            n = count * self.weight(job)
             if job.spec.spot:
                 other += n
             else:
                 solid += n
+            horizon = max(horizon, self._wait_for_machine(job))
+            if job.ref not in self.counted and count:
+                self.counted.add(job.ref)
+                if self.unmeasured:
+                    continue
+                if job.spec.spot:
+                    self.rate_other += n / SMOOTH_S
+                else:
+                    self.rate_solid += n / SMOOTH_S
+        self.unmeasured = False
+        self.fleet.rate_now = (self.rate_solid, self.rate_other)
         if solid or other:
             self.busy_at = now
-        dt = min(10.0, max(0.0, now - self.measured_at))
-        self.measured_at = now
-        f = 1.0 - math.exp(-dt / SMOOTH_S)
-        if self.unmeasured:
-            # A new leader goes on from what the last one measured, or from what it finds.
-            self.unmeasured = False
-            known = self.fleet.need_hint
-            self.mean_solid, self.mean_other = known if known is not None else (solid, other)
-        self.fleet.need_now = (self.mean_solid, self.mean_other)
-        self.mean_solid += f * (solid - self.mean_solid)
-        self.mean_other += f * (other - self.mean_other)
-        unit = max((self.size_of(i) for i in range(len(self.fleet.type_info))), default=1.0) or 1.0
-        if now - self.busy_at > QUIET_S:
+        elif now - self.busy_at > QUIET_S:
+            self.counted.clear()
             self.targets = Targets()
             return
-        t = Targets()
-        ms = self.mean_solid / unit
-        t.solid = unit * max(solid / unit, ms + SOLID_Z * math.sqrt(ms))
-        total = (self.mean_solid + self.mean_other) / unit
+        unit = max((self.size_of(i) for i in range(len(self.fleet.type_info))), default=1.0) or 1.0
+
+        def margin(rate: float, z: float) -> float:
+            return unit * z * math.sqrt(2.0 * rate * horizon / unit)
+
         floor = self.firm_floor()
-        z = FIRM_Z if floor else TOTAL_Z
-        t.total = unit * max((solid + other) / unit, total + z * math.sqrt(total))
+        t = Targets()
+        t.solid = solid + margin(self.rate_solid, SOLID_Z)
+        t.total = solid + other + margin(self.rate_solid + self.rate_other, FIRM_Z if floor else TOTAL_Z)
         t.total = max(t.total, t.solid, floor)
         self.targets = t
 
+    def _wait_for_machine(self, job: Job) -> float:
+        """How long a new machine takes until it serves this job: boot and fetch."""
+        best = math.inf
+        for i, info in enumerate(self.fleet.type_info):
+            if info is not None and job.spec is not None and (job.types is None or i in job.types):
+                fetch = job.spec.image_gb / info.fetch_gb_s if info.fetch_gb_s > 0 else 0.0
+                best = min(best, info.boot_s + fetch)
+        return best if best < math.inf else 0.0
+
+    def _cut_zones(self, now: float) -> set[int]:
+        """Zones most of whose machines are silent: the network's trouble, not the machines'.
+
+        After a cut of half a minute each of them had been deleted and was rented again.
+        """
+        silent: dict[int, list[bool]] = {}
+        for m in self.fleet.machines.values():
+            if m.phase in (Phase.UP, Phase.DRAINING) and m.up_at >= 0:
+                silent.setdefault(m.zone, []).append(m.silent)
+        return {z for z, s in silent.items() if sum(s) >= 3 and 2 * sum(s) > len(s)}
+
     def firm_floor(self) -> float:
         """A guarantee that must start sooner than a machine boots has to stand ready."""
         boot = max((i.boot_s for i in self.fleet.type_info if i is not None), default=0.0)
@@ -440,6 +474,7 @@
         out: list[Machine] = []
         lease = self.params.workers.lease_s
         leading = now - self.began_at
+        cut = self._cut_zones(now)
         for m in self.fleet.machines.values():
             info = self.fleet.info(m.type)
             boot = info.boot_s if info is not None else 30.0
@@ -452,7 +487,7 @@
             elif m.phase is Phase.BOOTING:
                 if now - m.rented_at > 5.0 * boot and leading > 2 * lease and now - m.known_at > 3 * lease:
                     why = "it never came up"
-            elif m.silent and leading > 2 * lease and now - m.last_beat > lease + 25.0:
+            elif m.silent and leading > 2 * lease and now - m.last_beat > (100.0 if m.zone in cut else 25.0) + lease:
                 why = "its worker is silent"
             elif m.phase is Phase.NOTICED and m.notice_at is not None and now > m.notice_at + 3.0 and m.silent:
                 why = "the cloud has taken it"
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -141,8 +141,8 @@
         self.token = 0
         self.wake: Callable[[], None] = lambda: None
         self.warm_hint: dict[str, list[tuple[str, float]]] = {}
-        self.need_hint: tuple[float, float] | None = None
-        self.need_now: tuple[float, float] = (0.0, 0.0)
+        self.rate_hint: tuple[float, float] | None = None
+        self.rate_now: tuple[float, float] = (0.0, 0.0)
         lease = params.workers.lease_s
         self.lease_gone = lease * (1 + DRIFT) + LEASE_MARGIN_S
 
@@ -461,20 +461,20 @@
     # -- what the peers keep for the next leader ------------------------------------------------
 
     def hint(self) -> dict:
-        """Which images each machine has and what was needed lately. Never a matter of rules."""
+        """Which images each machine has and how fast jobs arrived. Never a matter of rules."""
         names = self.images.names
         warm = {m.name: [[names[i], gb] for i, gb in m.images.items()] for m in self.machines.values() if m.images}
-        return {"warm": warm, "need": self.need_now}
+        return {"warm": warm, "rate": self.rate_now}
 
     def take_hint(self, hint: object) -> None:
         """A peer leads and says what this node would want to know if it led next."""
         if not isinstance(hint, dict):
             return
-        warm, need = hint.get("warm"), hint.get("need")
+        warm, rate = hint.get("warm"), hint.get("rate")
         if isinstance(warm, dict):
             self.warm_hint = warm
-        if isinstance(need, list | tuple) and len(need) == 2 and all(isinstance(n, float | int) for n in need):
-            self.need_hint = (float(need[0]), float(need[1]))
+        if isinstance(rate, list | tuple) and len(rate) == 2 and all(isinstance(n, float | int) for n in rate):
+            self.rate_hint = (float(rate[0]), float(rate[1]))
 
     def _warm_from_hint(self, m: Machine) -> None:
         for item in self.warm_hint.get(m.name, ()):
