--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -21,6 +21,7 @@
 HOLD_AFTER_S = 1.0
 KEEP_Z = 1.3  # how many machines are kept for whole-machine jobs, in roots of their mean need
 SMOOTH_S = 90.0
+WARM_GAIN_S = 12.0  # a fetch longer than this is worth making room where the image is
 SETTLED_S = 30.0  # a start that lasts this long counts for its user
 
 
@@ -31,6 +32,7 @@
     job: Job
     count: int
     since: float
+    zone: int = -1  # where machines are being kept for it
 
 
 @dataclass(slots=True)
@@ -215,13 +217,9 @@
             r for i, r in p.rooms.items()
             if p.held.get(i, job.ref) == job.ref and job.errors.get(self.fleet.by_index[i].name, 0) < 2
         ]  # fmt: skip
-        got: list[tuple[int, int]] = []
-        if p.kept and job.rank <= self.whole_rank and not self._whole(job):
-            got = place(ask, [r for r in rooms if r.index not in p.kept])
-            if firm and sum(n for _, n in got) < count:
-                got = place(ask, rooms)
-        else:
-            got = place(ask, rooms)
+        got = self._choose(job, ask, p, rooms, firm)
+        if got and self._better_warm(job, ask, p, got, firm, now):
+            return
         placed = sum(n for _, n in got)
         if placed:
             tasks = job.pending(placed)
@@ -256,6 +254,36 @@
         if spec.gang and missing > 0 and now - w.since > HOLD_AFTER_S:
             self._reserve(job, ask, p)
 
+    def _choose(self, job: Job, ask: Ask, p: Picture, rooms: list[Room], firm: bool) -> list[tuple[int, int]]:
+        """HAS over the machines that the job may have; kept ones only if nothing else will do."""
+        if p.kept and job.rank <= self.whole_rank and not self._whole(job):
+            got = place(ask, [r for r in rooms if r.index not in p.kept])
+            if not firm or sum(n for _, n in got) >= ask.count:
+                return got
+        return place(ask, rooms)
+
+    def _better_warm(self, job: Job, ask: Ask, p: Picture, got: list[tuple[int, int]], firm: bool, now: float) -> bool:
+        """Whether to wait for a machine that has the image, because making room is faster than a fetch."""
+        spec = job.spec
+        assert spec is not None
+        if not spec.gang or job.tasks > 1:
+            return False
+        room = p.rooms[got[0][0]]
+        info = self.fleet.info(room.type)
+        if job.image in room.warm or info is None or info.fetch_gb_s <= 0:
+            return False
+        if spec.image_gb / info.fetch_gb_s < WARM_GAIN_S:
+            return False
+        w = self.waiting.get(job.ref)
+        if w is not None and now - w.since > WARM_GAIN_S:
+            return False
+        held = [i for i, ref in p.held.items() if ref == job.ref]
+        if not held and self._preempt(job, p, 1, firm, now, warm_only=True) > 0:
+            return False
+        if w is None:
+            self.waiting[job.ref] = Waiting(job, 1, now)
+        return True
+
     def _widest(self, job: Job) -> int:
         """How many more starts the job's record can name: a value has a limit, and ranges are short."""
         room = self.value_bytes * 0.75 - 700 - 40 * len({a.machine for a in job.active.values()})
@@ -331,7 +359,14 @@
             by_zone: dict[int, list[Room]] = {}
             for r in fit:
                 by_zone.setdefault(r.zone, []).append(r)
-            fit = max(by_zone.values(), key=lambda rs: sum(sorted((r.gpus for r in rs), reverse=True)[:left]))
+            w = self.waiting.get(job.ref)
+            if w is not None and len(by_zone.get(w.zone, ())) >= left:
+                # Once chosen, a zone stays: when it followed each freed GPU, no zone ever had enough.
+                fit = by_zone[w.zone]
+            else:
+                fit = max(by_zone.values(), key=lambda rs: sum(sorted((r.gpus for r in rs), reverse=True)[:left]))
+                if w is not None:
+                    w.zone = fit[0].zone
         fit.sort(key=lambda r: (-r.gpus, -r.cpus, r.index))
         for r in fit:
             if left <= 0:
@@ -366,7 +401,7 @@
                 out[i].cpus = 0.0
         return out
 
-    def _preempt(self, job: Job, p: Picture, left: int, firm: bool, now: float) -> int:
+    def _preempt(self, job: Job, p: Picture, left: int, firm: bool, now: float, warm_only: bool = False) -> int:
         """Stop what may be stopped so that the job's tasks fit. Returns how many still have no room."""
         spec = job.spec
         assert spec is not None
@@ -383,6 +418,8 @@
             m = self.fleet.by_index[index]
             if index in p.held or (ask.types is not None and room.type not in ask.types):
                 continue
+            if warm_only and job.image not in room.warm:
+                continue
             if (ask.zone >= 0 and room.zone != ask.zone) or (room.spot and not ask.spot):
                 continue
             if ask.one_zone and zones and room.zone not in zones:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -132,3 +132,41 @@
     cluster.scheduler.round()
     used = {m.name for m in cluster.fleet.machines.values() if m.entries}
     assert used == {gang.active[0].machine}
+
+
+def test_urgent_work_makes_room_where_its_image_is_rather_than_fetch_elsewhere(cluster):
+    up(cluster, "vm-1", "vm-2")
+    low = cluster.submit(1, pieces=4, rank="low")
+    cluster.scheduler.round()
+    (warm,) = {a.machine for a in low.active.values()}
+    m = cluster.fleet.machines[warm]
+    m.images[cluster.fleet.images.of("img-9")] = 10.0
+    urgent = cluster.submit(2, shape="ensemble", cards=4.0, rank="urgent", bundle="img-9", sizeGb=10.0)
+    cluster.scheduler.round()
+    assert not urgent.active and m.held_for == urgent.ref
+    for a in list(low.active.values()):
+        cluster.fleet.drop(low, a, "halted")
+    low.phase = "withdrawn"
+    cluster.scheduler.round()
+    assert urgent.active[0].machine == warm
+
+
+def test_a_gang_keeps_the_zone_that_was_chosen_for_it(cluster):
+    for name, zone in (("e1", "east"), ("e2", "east"), ("w1", "west"), ("w2", "west")):
+        cluster.beat(name, zone=zone)
+    fillers = [cluster.submit(n, pieces=1, cards=c, yard=z) for n, c, z in ((1, 2.0, "east"), (2, 2.0, "west"))]
+    fillers.append(cluster.submit(3, pieces=1, cards=1.0, yard="west"))
+    cluster.scheduler.round()
+    gang = cluster.submit(4, shape="ensemble", pieces=2, cards=4.0, samePlace=True)
+    cluster.scheduler.round()
+    cluster.clock.tick(2.0)
+    for name, zone in (("e1", "east"), ("e2", "east"), ("w1", "west"), ("w2", "west")):
+        cluster.beat(name, zone=zone)
+    cluster.scheduler.round()
+    zone = cluster.scheduler.waiting[gang.ref].zone
+    assert zone == cluster.fleet.zones.of("east")
+    cluster.fleet.drop(fillers[2], fillers[2].active[0], "done")
+    later = cluster.submit(5, pieces=4)
+    cluster.scheduler.round()
+    assert cluster.scheduler.waiting[gang.ref].zone == zone
+    assert {a.machine[0] for a in later.active.values()} == {"w"}
