--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -277,7 +277,8 @@
         w = self.waiting.get(job.ref)
         if w is not None and now - w.since > WARM_GAIN_S:
             return False
-        held = [i for i, ref in p.held.items() if ref == job.ref]
+        # Only a machine that has the image is worth waiting for, not any that is held for the job.
+        held = any(ref == job.ref and i in p.rooms and job.image in p.rooms[i].warm for i, ref in p.held.items())
         if not held and self._preempt(job, p, 1, firm, now, warm_only=True) > 0:
             return False
         if w is None:
@@ -406,7 +407,10 @@
         spec = job.spec
         assert spec is not None
         ask = self.ask(job, left)
-        holding = [i for i, ref in p.held.items() if ref == job.ref]
+        holding = [
+            i for i, ref in p.held.items()
+            if ref == job.ref and not (warm_only and i in p.rooms and job.image not in p.rooms[i].warm)
+        ]  # fmt: skip
         for i in holding:
             left -= max(1, self._units_if(ask, i, lambda a, o: a.stop_grace is not None))
         if left <= 0:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -170,3 +170,17 @@
     cluster.scheduler.round()
     assert cluster.scheduler.waiting[gang.ref].zone == zone
     assert {a.machine[0] for a in later.active.values()} == {"w"}
+
+
+def test_a_cold_machine_held_for_a_job_is_taken_once_it_is_free(cluster):
+    """It was left empty for twelve seconds, as if the machine that had the image were on its way."""
+    up(cluster, "vm-1")
+    low = cluster.submit(1, pieces=4, rank="low")
+    cluster.scheduler.round()
+    urgent = cluster.submit(2, shape="ensemble", cards=4.0, rank="urgent", bundle="img-9", sizeGb=10.0)
+    cluster.scheduler.round()
+    assert cluster.fleet.machines["vm-1"].held_for == urgent.ref
+    for a in list(low.active.values()):
+        cluster.fleet.drop(low, a, "halted")
+    cluster.scheduler.round()
+    assert urgent.active
