--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -109,8 +109,8 @@
 
 
 SMOOTH_S = 60.0  # time constant of the smoothed arrivals
-SOLID_Z = 1.2  # margin of ordinary machines, in standard deviations of need while one boots
-TOTAL_Z = 1.0  # margin of all machines
+SOLID_Z = 0.8  # margin of ordinary machines, in standard deviations of need while one boots
+TOTAL_Z = 0.7  # margin of all machines
 FIRM_Z = 3.0  # the same where a guarantee has to start sooner than a machine boots
 QUIET_S = 20.0  # without any job for this long, nothing stands ready
 KEEP_IDLE_S = 25.0
@@ -146,6 +146,7 @@
         self.params, self.fleet, self.scheduler, self.client, self.clock = params, fleet, scheduler, client, clock
         self.targets = Targets()
         self.rate_solid = self.rate_other = 0.0  # arrivals, in the unit of demand a second
+        self.need_solid = self.need_other = 0.0
         self.counted: set[str] = set()
         self.unmeasured = False
         self.measured_at = self.busy_at = -1e9
@@ -368,6 +369,7 @@
                 else:
                     self.rate_solid += n / SMOOTH_S
         self.unmeasured = False
+        self.need_solid, self.need_other = solid, other
         self.fleet.rate_now = (self.rate_solid, self.rate_other)
         if solid or other:
             self.busy_at = now
@@ -387,6 +389,17 @@
         t.total = max(t.total, t.solid, floor)
         self.targets = t
 
+    def _log_need(self, now: float) -> None:
+        """Why machines are rented and returned, in one line."""
+        if log.isEnabledFor(logging.DEBUG):
+            solid, total = self.standing(now)
+            t = self.targets
+            log.debug(
+                "need %.0f ordinary, %.0f in all; targets %.0f, %.0f; standing %.0f, %.0f; %d jobs wait",
+                self.need_solid, self.need_solid + self.need_other, t.solid, t.total, solid, total,
+                len(self.scheduler.waiting),
+            )  # fmt: skip
+
     def _wait_for_machine(self, job: Job) -> float:
         """How long a new machine takes until it serves this job: boot and fetch."""
         best = math.inf
@@ -449,7 +462,8 @@
         for m in fleet.machines.values():
             if m.phase is not Phase.UP or m.held_for or m.strays or m.silent:
                 continue
-            if m.spot and not m.entries and now - max(m.idle_since, m.up_at) > KEEP_IDLE_S:
+            if m.spot and now - m.up_at > KEEP_IDLE_S:
+                # Also with tasks on it: spread thinly over many machines they kept all of them.
                 idle.append(m)
             solid = any(j.spec is not None and not j.spec.spot for j, _ in m.entries.values())
             if not m.spot and not solid and now - max(m.up_at, m.solid_at) > KEEP_IDLE_S:
@@ -561,6 +575,7 @@
                 if not self.listed_once or now - self.began_at < settle or now - last_plan < 1.0:
                     continue
                 last_plan = now
+                self._log_need(self.clock())
                 plan = self.wanted(self.clock()) or self.standby(self.clock())
                 for pool, count in plan.items():
                     if not valid():
