--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -409,6 +409,18 @@
                 best = min(best, info.boot_s + fetch)
         return best if best < math.inf else 0.0
 
+    def _patience(self, m: Machine, cut: set[int]) -> float:
+        """How long a silent machine is kept before it is deleted.
+
+        A cheap one was most likely taken without notice. Its deletion is confirmed sooner than its
+        lease is over, so its tasks go on elsewhere sooner; and if it was only cut off, they were lost
+        anyway. An ordinary one is more likely to come back with its images.
+        """
+        lease = self.params.workers.lease_s
+        if m.zone in cut:
+            return lease + 100.0
+        return 3.2 * self.params.workers.report_s if m.spot else lease + 25.0
+
     def _cut_zones(self, now: float) -> set[int]:
         """Zones most of whose machines are silent: the network's trouble, not the machines'.
 
@@ -431,7 +443,7 @@
         """(solid, all) that stands ready or is on its way, in the unit of demand."""
         solid = total = 0.0
         for m in self.fleet.machines.values():
-            if m.phase is Phase.UP or (m.phase is Phase.BOOTING and not self.overdue(m, now)):
+            if (m.phase is Phase.UP and not m.silent) or (m.phase is Phase.BOOTING and not self.overdue(m, now)):
                 size = self.size_of(m.type)
                 total += size
                 if not m.spot:
@@ -501,7 +513,7 @@
             elif m.phase is Phase.BOOTING:
                 if now - m.rented_at > 5.0 * boot and leading > 2 * lease and now - m.known_at > 3 * lease:
                     why = "it never came up"
-            elif m.silent and leading > 2 * lease and now - m.last_beat > (100.0 if m.zone in cut else 25.0) + lease:
+            elif m.silent and leading > 2 * lease and now - m.last_beat > self._patience(m, cut):
                 why = "its worker is silent"
             elif m.phase is Phase.NOTICED and m.notice_at is not None and now > m.notice_at + 3.0 and m.silent:
                 why = "the cloud has taken it"
--- a/tests/test_cloud.py
+++ b/tests/test_cloud.py
@@ -130,6 +130,23 @@
     assert renting.targets.solid == pytest.approx(16.0, abs=1.0)
 
 
+def test_a_silent_cheap_machine_is_deleted_before_its_lease_is_over(cluster, renting):
+    cluster.clock.tick(60.0)
+    for n in range(1, 4):
+        cluster.beat(f"vm-{n}", spot=True)
+    job = cluster.submit(1, loaners=True, pieces=12)
+    cluster.scheduler.round()
+    for _ in range(4):
+        cluster.clock.tick(2.0)
+        cluster.beat("vm-2", spot=True)
+        cluster.beat("vm-3", spot=True)
+        cluster.fleet.expire(cluster.clock())
+    (m,) = renting.to_return(cluster.clock())
+    assert m.name == "vm-1" and len(job.active) == 12
+    cluster.fleet.gone(m, "deleted")
+    assert len(job.active) == 8
+
+
 def test_machines_of_a_zone_that_is_cut_off_are_not_deleted_at_once(cluster, renting):
     for n in range(1, 5):
         cluster.beat(f"vm-{n}", zone="west")
