Followers keep the leases of workers that can't reach the leader

A node now writes whom it keeps, under the leader's stamp, before it answers; all writes of the leader have these keys as conditions. Found on the way: a cut node is a candidate half of the time, and workers may never have met the new leader; both are kept too.

--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -417,7 +417,7 @@
         anyway. An ordinary one is more likely to come back with its images.
         """
         lease = self.params.workers.lease_s
-        if m.zone in cut:
+        if m.zone in cut or self.fleet.kept.kept(m.name):
             return lease + 100.0
         return 3.2 * self.params.workers.report_s if m.spot else lease + 25.0
 
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -7,7 +7,8 @@
 - the worker is in a later tenure than the one in which the start was decided, or
 - a report that is newer than the launch, with our token, does not contain it, or
 - the cloud has confirmed the machine's deletion with a 200, or
-- no node can have answered the worker for longer than its lease, drift and a margin.
+- no node can have answered the worker for longer than its lease, drift and a margin: neither this
+  leader, nor one before it, nor a follower that keeps leases (see keeper.py).
 """
 
 import logging
@@ -17,6 +18,7 @@
 
 from hookwall import wire
 from hookwall.jobs import OPEN, WITHDRAWN, Active, Job, JobTable
+from hookwall.keeper import Kept
 from hookwall.settings import Params
 from hookwall.wire import Beat, Catalog, MachineType, Order
 
@@ -139,6 +141,7 @@
         self.deleted: set[str] = set()  # confirmed; late lists still name them
         self.began: float | None = None
         self.token = 0
+        self.kept = Kept(clock)
         self.wake: Callable[[], None] = lambda: None
         self.warm_hint: dict[str, list[tuple[str, float]]] = {}
         self.rate_hint: tuple[float, float] | None = None
@@ -436,11 +439,13 @@
         if self.began is None:
             return
         for m in list(self.machines.values()):
-            heard = max(m.answered, self.began)
+            heard = max(m.answered, self.began, self.kept.heard(m.name))
             if not m.silent and m.up_at >= 0 and now - m.last_beat > self.params.workers.report_s * 3:
                 m.silent = True
                 log.info("machine %s is silent", m.name)
                 self.wake()
+            if self.kept.kept(m.name):
+                continue
             if m.entries and now - heard > self.lease_gone:
                 log.info("machine %s: lease is over, %d tasks gone", m.name, len(m.entries))
                 self.drop_all(m, "the lease is over")
--- a/hookwall/jobs.py
+++ b/hookwall/jobs.py
@@ -95,6 +95,7 @@
         "parked",
         "phase",
         "rank",
+        "raw",
         "ref",
         "spec",
         "stamp",
@@ -134,6 +135,7 @@
         self.types: frozenset[int] | None = None
         self.zone = -1
         self.waiting_since = -1.0
+        self.raw: object = None  # the record as stored
         self.void = False  # the record has to be taken again even if its stamp is known
 
     def final(self) -> bool:
@@ -191,7 +193,7 @@
         """Replace what is known by a stored record. What workers said of the same starts is kept."""
         v = value if isinstance(value, dict) else {}
         old = self.active
-        self.stamp = stamp
+        self.stamp, self.raw = stamp, value
         self.phase = self.stored_phase = str(v.get("phase", OPEN))
         self.tasks = int(v.get("n", 0))
         self.next_attempt = int(v.get("next", 1))
@@ -225,11 +227,12 @@
         self.cursor = 0
         self.dirty = self.void = False
 
-    def stored(self, stamp: int, on: dict[int, tuple[str, int]], phase: str, done: int) -> None:
+    def stored(self, stamp: int, on: dict[int, tuple[str, int]], phase: str, done: int, raw: object = None) -> None:
         """A write of ours succeeded with this content."""
+        self.raw = raw
         self.stamp, self.stored_on, self.stored_phase, self.stored_done = stamp, on, phase, done
         if phase != OPEN and not on and not self.active:
-            self.spec, self.done = None, None
+            self.spec, self.done, self.raw = None, None, None
 
 
 class JobTable:
@@ -270,6 +273,13 @@
             if job.spec is not None or not job.final():
                 job.void, job.parked, job.writing, job.dirty = True, None, False, False
 
+    def revert(self) -> None:
+        """Go back to what is stored, for all jobs with decisions that are not."""
+        for job in list(self.open.values()):
+            if job.dirty and not job.writing and job.raw is not None:
+                job.void = True
+                self.apply(st.JOBS + job.ref, job.raw, job.stamp)
+
     def note(self, job: Job) -> None:
         """Keep the list of jobs that are not over."""
         if job.spec is not None and (job.phase == OPEN or job.active or not job.final()):
--- /dev/null
+++ b/hookwall/keeper.py
@@ -0,0 +1,190 @@
+"""Keeping the leases of workers that can't reach the leader.
+
+In a zone that is cut off from the leader, workers still reach a node that follows. It may answer
+their reports, so that they keep their tasks, if the leader can know: before its first answer to a
+worker the node writes the machine's name into a key of its own, on the condition that the leader key
+is unchanged, and attached to a short hold. Each write of the leader has these keys, as it knows them,
+as conditions. So a lease that the leader believes to be over can't have been kept meanwhile, and what
+it decided on a stale belief is never stored. The node commands nothing but the stop of cancelled
+tasks, and answers only while its hold can't have ended.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from hookwall import store as st
+from hookwall import wire
+from hookwall.jobs import WITHDRAWN, JobTable
+from hookwall.leadership import DRIFT, SLACK_S, Leadership, Role
+from hookwall.store import Conflict, Refused, Store, Unknown
+from hookwall.wire import Beat, Order
+
+log = logging.getLogger("hookwall.keeper")
+
+HOLD_S = 6.0
+RENEW_S = 1.5
+UNHEARD_S = 3.0  # so long without a word from the leader, its workers are kept
+MOST_S = 60.0  # and no longer than this, lest a worker stay with a node that can't use it
+
+
+class Keeper:
+    """One node's part in keeping other leaders' workers."""
+
+    def __init__(self, me: str, lead: Leadership, store: Store, table: JobTable, clock: Callable[[], float]) -> None:
+        self.key = st.KEEP + me
+        self.lead, self.store, self.table, self.clock = lead, store, table, clock
+        self.token = 0
+        self.stamp: int | None = None  # of the own key; None: not known
+        self.hold: int | None = None
+        self.until = -1e9
+        self.kept: set[str] = set()
+        self.wanted: set[str] = set()
+        self.since: dict[str, float] = {}
+        self.lock = asyncio.Lock()
+
+    def may(self, b: Beat) -> bool:
+        """Whether this worker has lost a leader who, as far as the store says, leads.
+
+        Its token may be older: a leader that it never met took over on the other side of a cut.
+        """
+        lead = self.lead
+        return (
+            lead.role in (Role.FOLLOWER, Role.CANDIDATE)  # cut off, it campaigns in vain all the time
+            and lead.key_stamp > 0
+            and lead.key_node != lead.me
+            and b.token <= lead.key_stamp
+            and bool(b.tasks)
+            and self.store.fresh()
+            and self.clock() - lead.leader_heard > UNHEARD_S
+            and self.clock() - self.since.get(b.machine, self.clock()) < MOST_S
+        )
+
+    def valid(self, machine: str) -> bool:
+        """Whether an answer to this machine is covered by what is stored."""
+        return machine in self.kept and self.token == self.lead.key_stamp and self.clock() < self.until
+
+    async def keep(self, b: Beat) -> list[Order] | None:
+        """The answer's commands, or None if the worker can't be kept."""
+        if not self.may(b):
+            return None
+        self.since.setdefault(b.machine, self.clock())
+        if not self.valid(b.machine):
+            self.wanted.add(b.machine)
+            await self._write()
+        if not (self.valid(b.machine) and self.may(b)):
+            return None
+        orders = []
+        for t in b.tasks:
+            parts = wire.split_task(t.piece)
+            job = self.table.jobs.get(parts[0]) if parts is not None else None
+            if job is not None and job.stored_phase == WITHDRAWN and t.phase != "exited":
+                orders.append(wire.stop(t.piece, t.attempt, 0.0))
+        return orders
+
+    async def _write(self) -> None:
+        """Store which machines are kept, under the leader's stamp."""
+        async with self.lock:
+            if self.wanted <= self.kept and self.token == self.lead.key_stamp and self.clock() < self.until:
+                return
+            token = self.lead.key_stamp
+            names = sorted(self.wanted | (self.kept if token == self.token else set()))
+            try:
+                if self.stamp is None:
+                    got = await self.store.get(self.key)
+                    self.stamp = got[1] if got is not None else 0
+                sent = self.clock()
+                hold = await self.store.hold(HOLD_S)
+                value = {"token": token, "machines": names}
+                stamp = await self.store.commit([(st.LEADER, token), (self.key, self.stamp)], [(self.key, value)], hold)
+            except (Conflict, Refused, Unknown) as e:
+                log.debug("could not keep %d machines: %s", len(names), type(e).__name__)
+                # The write may still happen and tie the key to a hold that nobody renews, so what
+                # was kept before can't be relied on either. The leader's view errs on the safe side.
+                self.kept, self.until, self.stamp = set(), -1e9, None
+                return
+            if not self.kept:
+                log.info("keeps the leases of workers that lost %s", self.lead.key_node)
+            self.token, self.stamp, self.hold = token, stamp, hold
+            self.until = sent + HOLD_S * (1 - DRIFT) - SLACK_S
+            self.kept = set(names)
+            self.wanted.clear()
+
+    async def _stop(self, why: str) -> None:
+        """Answer no more, and only then say so."""
+        hold, self.hold = self.hold, None
+        self.kept = set()
+        self.wanted.clear()
+        self.since.clear()
+        self.until, self.stamp = -1e9, None
+        log.info("keeps no leases any more: %s", why)
+        if hold is not None:
+            try:
+                await self.store.drop(hold)
+            except (Refused, Unknown) as e:
+                log.debug("could not drop the hold: %s", type(e).__name__)
+
+    async def run(self) -> None:
+        """Renew the hold while there is reason to keep; let go when the leader is heard again."""
+        while True:
+            await asyncio.sleep(RENEW_S)
+            if not self.kept:
+                continue
+            lead, now = self.lead, self.clock()
+            heard = now - lead.leader_heard < UNHEARD_S
+            if lead.role in (Role.LOADING, Role.LEADER) or lead.key_stamp != self.token:
+                await self._stop("another leader")
+                continue
+            if heard or now >= self.until:
+                await self._stop("the leader is heard" if heard else "the hold was not renewed in time")
+                continue
+            hold = self.hold
+            try:
+                alive = hold is not None and await self.store.extend(hold)
+            except (Refused, Unknown):
+                continue
+            if not alive:
+                await self._stop("the hold has ended")
+            elif hold == self.hold:
+                self.until = now + HOLD_S * (1 - DRIFT) - SLACK_S
+
+
+class Kept:
+    """The leader's view of what followers keep."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.keys: dict[str, tuple[int, frozenset[str]]] = {}
+        self.released: dict[str, float] = {}  # machine -> when its keeping was seen to be over
+        self.all_released = -1e9
+
+    def take(self, key: str, value: object, stamp: int) -> None:
+        """A keeper's key as read or watched; stamp 0: it is gone."""
+        old = self.keys.get(key)
+        if stamp and old is not None and stamp <= old[0]:
+            return
+        now = self.clock()
+        names: frozenset[str] = frozenset()
+        if stamp and isinstance(value, dict) and isinstance(value.get("machines"), list):
+            names = frozenset(str(n) for n in value["machines"])
+        for name in (old[1] if old is not None else frozenset()) - names:
+            self.released[name] = now
+        if stamp:
+            self.keys[key] = (stamp, names)
+        else:
+            self.keys.pop(key, None)
+
+    def missed(self) -> None:
+        """A key came and went unseen: anyone may have been kept until now."""
+        self.all_released = self.clock()
+
+    def kept(self, machine: str) -> bool:
+        return any(machine in names for _, names in self.keys.values())
+
+    def heard(self, machine: str) -> float:
+        """Until when a keeper may have answered this machine, as far as it is over."""
+        return max(self.all_released, self.released.get(machine, -1e9))
+
+    def conditions(self, keys: list[str]) -> list[tuple[str, int]]:
+        """What each write of the leader is conditional on."""
+        return [(k, self.keys[k][0] if k in self.keys else 0) for k in keys]
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -131,6 +131,7 @@
         self.key_mode = Mode.PROMISE
         self.key_known = False
         self.key_gone_at = clock()
+        self.leader_heard = clock()  # when the node that the key names last asked for this one's support
         self.with_majority_since: float | None = None
         self.peer_state_ok: dict[str, float] = {}
         self.peer_heard: dict[str, float] = {}
@@ -235,6 +236,8 @@
             token = m.get("tok")
             if isinstance(token, int) and token > 0:
                 ok = self.promise.renew(node, token)
+                if ok:
+                    self.leader_heard = self.clock()
                 if ok and m.get("hint") is not None:
                     self.on_hint(m["hint"])
                 if token > self.token and self.role in (Role.LEADER, Role.LOADING) and ok:
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -12,6 +12,7 @@
 from hookwall.cloud import CloudClient, Renting
 from hookwall.fleet import Fleet
 from hookwall.jobs import Job, JobTable, UserApi
+from hookwall.keeper import Keeper
 from hookwall.leadership import Leadership, Role
 from hookwall.peers import Peer
 from hookwall.scheduler import Scheduler
@@ -50,6 +51,8 @@
             settings.node_name, params.size, [Peer(s) for s in settings.seeds], self.store, clock,
             self._load, self._role,
         )  # fmt: skip
+        self.keeper = Keeper(settings.node_name, self.leadership, self.store, self.table, clock)
+        self.keep_keys = [st.KEEP + seed.node_name for seed in settings.seeds]
         self.leadership.hint = self.fleet.hint
         self.leadership.on_hint = self.fleet.take_hint
         self.table.on_taken = self._taken
@@ -71,6 +74,8 @@
         elif key == st.LEADER:
             if stamp >= self.leadership.key_stamp:
                 self.leadership.saw_key(value, stamp)
+        elif key.startswith(st.KEEP):
+            self.fleet.kept.take(key, value, stamp)
         elif key == st.CATALOG and not self.leadership.valid():
             try:
                 self._set_catalog(wire.convert(value, Catalog))
@@ -84,6 +89,7 @@
     async def _read_all(self) -> None:
         """Read every key; the watch goes on from there."""
         found, epoch = await self.store.scan(st.ROOT)
+        self._keepers_missing(found)
         leader = False
         for key, value, stamp in found:
             leader = leader or key == st.LEADER
@@ -97,6 +103,7 @@
         """A new leader's picture starts from the records as they are after its key was written."""
         self.table.void_decisions()
         found, _ = await self.store.scan(st.ROOT)
+        self._keepers_missing(found)
         for key, value, stamp in found:
             if key != st.LEADER:
                 self._take_key(key, value, stamp)
@@ -105,6 +112,12 @@
         self.scheduler.waiting.clear()
         self.renting.reset()
 
+    def _keepers_missing(self, found: list[tuple[str, object, int]]) -> None:
+        """Keepers' keys that a full read does not show are gone."""
+        there = {key for key, _, _ in found}
+        for key in [k for k in self.fleet.kept.keys if k not in there]:
+            self.fleet.kept.take(key, None, 0)
+
     async def watch_loop(self) -> None:
         """Learn of every change; a batch at a time, so that frequent changes cost few requests."""
         while True:
@@ -121,6 +134,10 @@
                         self._take_key(e["set"], e.get("value"), stamp)
                     elif e.get("delete") == st.LEADER and stamp > self.leadership.key_stamp:
                         self.leadership.saw_key({}, 0)
+                    elif isinstance(e.get("delete"), str) and e["delete"].startswith(st.KEEP):
+                        known = self.fleet.kept.keys.get(e["delete"])
+                        if known is not None and stamp > known[0]:
+                            self.fleet.kept.take(e["delete"], None, 0)
                 await asyncio.sleep(0.1 if self.leadership.role is Role.LEADER else 0.25)
             except TooOld:
                 self.loaded = False
@@ -180,7 +197,8 @@
             on = {a.task: (a.machine, a.attempt) for a in job.active.values()}
             batch.append((job, record, on, job.phase, job.n_done))
             job.dirty, job.writing = False, True
-        when = [(st.LEADER, token), *((st.JOBS + j.ref, j.stamp) for j, *_ in batch)]
+        keepers = self.fleet.kept.conditions(self.keep_keys)
+        when = [(st.LEADER, token), *keepers, *((st.JOBS + j.ref, j.stamp) for j, *_ in batch)]
         put = [(st.JOBS + j.ref, r) for j, r, *_ in batch]
         stamp = 0
         conflict: list[str] = []
@@ -191,12 +209,12 @@
         except (Refused, Unknown) as e:
             log.debug("write of %d jobs: %s", len(batch), e)
         same = self.leadership.token == token and self.leadership.role is Role.LEADER
-        for job, _, on, phase, done in batch:
+        for job, raw, on, phase, done in batch:
             job.writing = False
             if not same:
                 continue
             if stamp:
-                job.stored(stamp, on, phase, done)
+                job.stored(stamp, on, phase, done, raw)
                 if job.final() and phase != "open":
                     log.info("%s is %s", job.ref, phase)
                 self.table.note(job)
@@ -211,7 +229,11 @@
         if st.LEADER in conflict:
             self.leadership.step_down("a write was refused: the leader key has changed")
             return
+        if any(key in self.keep_keys for key in conflict):
+            await self._keepers_changed(conflict)
         for key in conflict:
+            if key in self.keep_keys:
+                continue
             try:
                 await self._refresh(key)
             except (Refused, Unknown) as e:
@@ -221,13 +243,31 @@
         elif not conflict:
             await asyncio.sleep(0.2)
 
+    async def _keepers_changed(self, conflict: list[str]) -> None:
+        """A follower keeps leases that this leader did not know of: what it believed to be over may not be."""
+        log.info("keepers have changed; decisions that are not stored are void")
+        for key in conflict:
+            if key not in self.keep_keys:
+                continue
+            try:
+                got = await self.store.get(key)
+            except (Refused, Unknown):
+                continue
+            if got is not None:
+                self.fleet.kept.take(key, *got)
+            elif key in self.fleet.kept.keys:
+                self.fleet.kept.take(key, None, 0)
+            else:
+                self.fleet.kept.missed()
+        self.table.revert()
+
     # -- leading -------------------------------------------------------------------------------
 
     def _role(self, role: Role) -> None:
         self.store.lead(role in (Role.LEADER, Role.LOADING))
         self.wake.set()
 
-    def beat(self, body: bytes) -> tuple[int, bytes]:
+    async def beat(self, body: bytes) -> tuple[int, bytes]:
         """A worker's report."""
         try:
             b = wire.decode_beat(body)
@@ -240,6 +280,9 @@
         if not lead.valid():
             if lead.role is Role.LEADER or lead.role is Role.LOADING:
                 return 503, b"{}"
+            orders = await self.keeper.keep(b)
+            if orders is not None:
+                return 200, msgspec.json.encode(wire.BeatAnswer(self.keeper.token, orders))
             name = lead.leader_name()
             return 421, msgspec.json.encode({"overseer": name} if name and name != lead.me else {})
         self.fleet.begin(self.clock())
@@ -301,6 +344,7 @@
             "ping": lead.ping_loop,
             "probe": lead.probe_loop,
             "lead": lambda: lead.run(lambda: bool(self.fleet.machines)),
+            "keep": self.keeper.run,
             "rent": lambda: self.renting.run(lead.valid, lambda: lead.token),
         }
         await asyncio.gather(*(self._keep(n, f) for n, f in loops.items()))
--- a/hookwall/server.py
+++ b/hookwall/server.py
@@ -12,7 +12,7 @@
 
 MOST_AT_ONCE = 200
 
-BeatHandler = Callable[[bytes], tuple[int, bytes]]
+BeatHandler = Callable[[bytes], Awaitable[tuple[int, bytes]]]
 
 
 class Door:
@@ -29,7 +29,7 @@
                 body = await self._body(request)
                 if body is None:
                     return _reply(413, b'{"error":"too large"}', close=True)
-                return _reply(*self.beat(body))
+                return _reply(*await self.beat(body))
             if path == "/up":
                 return _reply(200 if self.up() else 503, b"{}")
             if path == "/v1/jobs" or path.startswith("/v1/jobs/"):
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -25,6 +25,7 @@
 JOBS = ROOT + "job/"
 LEADER = ROOT + "leader"
 CATALOG = ROOT + "catalog"
+KEEP = ROOT + "keep/"
 
 
 class Refused(Exception):
--- /dev/null
+++ b/tests/test_keeper.py
@@ -0,0 +1,134 @@
+"""Followers keep leases only if the leader can't believe them to be over."""
+
+import asyncio
+
+import pytest
+
+from hookwall import keeper as kp
+from hookwall import store as st
+from hookwall import wire
+from hookwall.jobs import JobTable
+from hookwall.keeper import Keeper, Kept
+from hookwall.leadership import Leadership
+from hookwall.store import Conflict
+
+
+@pytest.fixture
+def follower(state, clock):
+    async def load():
+        return None
+
+    lead = Leadership("n1", 3, [], state, clock, load, lambda role: None)
+    state.epoch = 7
+    state.keys[st.LEADER] = ({"node": "n0"}, 7)
+    lead.saw_key(*state.keys[st.LEADER])
+    clock.tick(kp.UNHEARD_S + 1)
+    return Keeper("n1", lead, state, JobTable(clock), clock)
+
+
+def beat(token=7, tasks=(("run-000001/0", 1, "running"),), machine="vm-1"):
+    return wire.Beat(
+        machine=machine,
+        tenure=1,
+        tick=3,
+        token=token,
+        tasks=[wire.TaskReport(piece=p, attempt=a, phase=ph) for p, a, ph in tasks],
+    )
+
+
+def test_a_worker_that_lost_its_leader_is_answered_once_that_is_stored(follower, state):
+    assert asyncio.run(follower.keep(beat())) == []
+    assert state.keys[st.KEEP + "n1"][0]["machines"] == ["vm-1"]
+
+
+def test_no_answer_without_a_store_a_lost_leader_a_task_and_the_token(follower, state, clock):
+    assert asyncio.run(follower.keep(beat(token=8))) is None
+    assert asyncio.run(follower.keep(beat(tasks=()))) is None
+    state.mode = "lost"
+    assert asyncio.run(follower.keep(beat())) is None
+    state.mode = "ok"
+    follower.lead.leader_heard = clock()
+    assert asyncio.run(follower.keep(beat())) is None
+
+
+def test_an_answer_ends_with_the_hold(follower, clock):
+    asyncio.run(follower.keep(beat()))
+    assert follower.valid("vm-1") and not follower.valid("vm-2")
+    clock.tick(kp.HOLD_S)
+    assert not follower.valid("vm-1")
+
+
+def test_a_write_without_an_answer_ends_all_keeping(follower, state):
+    asyncio.run(follower.keep(beat()))
+    state.mode = "ghost"
+    follower.wanted.add("vm-2")
+    asyncio.run(follower._write())
+    assert not follower.valid("vm-1") and not follower.valid("vm-2")
+
+
+def test_a_new_leader_ends_keeping(follower, state):
+    asyncio.run(follower.keep(beat()))
+    state.epoch = 20
+    state.keys[st.LEADER] = ({"node": "n2"}, 20)
+    follower.lead.saw_key(*state.keys[st.LEADER])
+    assert not follower.valid("vm-1")
+
+
+def test_cancelled_tasks_are_stopped(follower):
+    record = {"phase": "withdrawn", "n": 1, "next": 2, "on": []}
+    follower.table.apply(st.JOBS + "run-000001", record, 5)
+    orders = asyncio.run(follower.keep(beat()))
+    assert [(o.verb, o.piece) for o in orders] == [("stop", "run-000001/0")]
+
+
+def test_a_leader_that_does_not_know_of_the_keeping_cannot_store_what_it_believes(follower, state, clock, cluster):
+    """The case that would run a task twice: the lease ends by the leader's count, but was kept."""
+    cluster.beat("vm-1")
+    job = cluster.submit(1)
+    cluster.scheduler.round()
+    cluster.store()
+    cluster.beat("vm-1")
+    asyncio.run(follower.keep(beat()))
+    clock.tick(13.0)
+    cluster.fleet.expire(clock())
+    assert not job.active and job.dirty
+    keys = [st.KEEP + "n1"]
+    with pytest.raises(Conflict):
+        asyncio.run(state.commit([(st.LEADER, 7), *cluster.fleet.kept.conditions(keys)], [("x", 1)]))
+    cluster.fleet.kept.take(keys[0], *state.keys[keys[0]])
+    job.raw = {**job.record(), "on": [["vm-1", 1, 1, "0"]]}
+    cluster.table.revert()
+    cluster.fleet.expire(clock())
+    assert job.active[0].machine == "vm-1" and not job.dirty
+
+
+def test_leases_count_from_the_end_of_keeping(cluster, clock):
+    cluster.beat("vm-1")
+    job = cluster.submit(1)
+    cluster.scheduler.round()
+    cluster.store()
+    cluster.beat("vm-1")
+    kept = cluster.fleet.kept
+    kept.take(st.KEEP + "n1", {"machines": ["vm-1"]}, 30)
+    clock.tick(40.0)
+    cluster.fleet.expire(clock())
+    assert job.active
+    kept.take(st.KEEP + "n1", None, 0)
+    clock.tick(12.0)
+    cluster.fleet.expire(clock())
+    assert job.active
+    clock.tick(1.0)
+    cluster.fleet.expire(clock())
+    assert not job.active
+
+
+def test_a_key_that_came_and_went_unseen_counts_for_every_machine(clock):
+    kept = Kept(clock)
+    kept.missed()
+    assert kept.heard("vm-9") == clock()
+
+
+def test_a_worker_that_never_met_the_new_leader_is_kept_too(follower):
+    """The leader sat in the zone that was cut off, and was replaced from outside it."""
+    assert asyncio.run(follower.keep(beat(token=3))) == []
+    assert follower.token == 7
