--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -480,8 +480,8 @@
             solid = any(j.spec is not None and not j.spec.spot for j, _ in m.entries.values())
             if not m.spot and not solid and now - max(m.up_at, m.solid_at) > KEEP_IDLE_S:
                 idle.append(m)
-        # The dearest first, then those with least to do.
-        idle.sort(key=lambda m: (-self.price((m.type, m.zone, m.spot)), len(m.entries), m.index))
+        # The dearest first, then those that hold and do least.
+        idle.sort(key=lambda m: (-self.price((m.type, m.zone, m.spot)), fleet.stock(m), len(m.entries), m.index))
         for m in idle:
             size = self.size_of(m.type)
             if over < size - 1e-6:
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -140,6 +140,7 @@
         self.by_index: list[Machine] = []
         self.deleted: set[str] = set()  # confirmed; late lists still name them
         self.began: float | None = None
+        self.solid_images: set[int] = set()  # of jobs that can't use cheap machines
         self.token = 0
         self.kept = Kept(clock)
         self.wake: Callable[[], None] = lambda: None
@@ -204,6 +205,8 @@
         if spec is None:
             return
         job.image = self.images.of(spec.image)
+        if not spec.spot:
+            self.solid_images.add(job.image)
         job.team = self.teams.of(spec.team)
         job.rank = wire.RANKS.index(spec.rank)
         job.types = None if spec.types is None else frozenset(self.types.of(t) for t in spec.types)
@@ -259,6 +262,10 @@
 
     # -- images --------------------------------------------------------------------------------
 
+    def stock(self, m: Machine) -> float:
+        """GB of images on the machine that are worth keeping for jobs of ordinary machines."""
+        return sum(gb for i, gb in m.images.items() if i in self.solid_images)
+
     def _has_image(self, m: Machine, image: int, gb: float) -> None:
         m.images.pop(image, None)
         m.images[image] = gb
--- a/hookwall/placement.py
+++ b/hookwall/placement.py
@@ -26,6 +26,7 @@
     price: float = 0.0
     penalty: float = 0.0
     warm: frozenset[int] | set[int] = frozenset()
+    stock: float = 0.0  # GB of images there that jobs of whole machines use
 
 
 @dataclass(slots=True)
@@ -75,9 +76,12 @@
 
 
 def _tie(ask: Ask, room: Room) -> tuple[object, ...]:
-    """Among equally idle machines: image there, kind that others can't use, steadier, cheaper."""
+    """Among equally idle machines: image there, kind that others can't use, steadier, cheaper.
+
+    Then the one with fewest other images that take long to fetch: those wait for the jobs that need them.
+    """
     wasted = ask.spot and not room.spot
-    return (ask.image not in room.warm, wasted, room.penalty, room.price, room.index)
+    return (ask.image not in room.warm, wasted, room.penalty, room.price, room.stock, room.index)
 
 
 def _caps(ask: Ask) -> tuple[int, dict[int, int]]:
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -22,6 +22,7 @@
 KEEP_Z = 0.8  # how many machines are kept for whole-machine jobs, in roots of their mean need
 SMOOTH_S = 90.0
 WARM_GAIN_S = 12.0  # a fetch longer than this is worth making room where the image is
+STOCK_COST_S = 0.2  # for each GB of images that others would have to fetch again
 DECLINE = 0.35  # of the time of a fetch, a job leaves machines without its image to others
 SETTLED_S = 30.0  # a start that lasts this long counts for its user
 
@@ -104,7 +105,8 @@
                 memory -= spec.memory
                 warm.add(job.image)  # being fetched: one fetch serves all tasks that wait for it
         price = info.spot_price if m.spot else info.price
-        return Room(m.index, m.type, m.zone, m.spot, cpus, gpus, memory, price, m.slow + m.errors, warm)
+        stock = self.fleet.stock(m)
+        return Room(m.index, m.type, m.zone, m.spot, cpus, gpus, memory, price, m.slow + m.errors, warm, stock)
 
     def _still_waits(self, ref: str) -> bool:
         job = self.table.open.get(ref)
@@ -464,7 +466,7 @@
             info = self.fleet.info(room.type)
             rate = info.fetch_gb_s if info is not None and info.fetch_gb_s > 0 else 1.0
             cost = 0.0 if job.image in room.warm else spec.image_gb / rate
-            cost += sum(self._loss(o, a, now) for o, a in chosen) / n
+            cost += sum(self._loss(o, a, now) for o, a in chosen) / n + STOCK_COST_S * room.stock
             options.append(((cost, index), index, n, chosen))
         options.sort(key=lambda o: o[0])
         if ask.one_zone and spec.gang:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -112,3 +112,9 @@
     # Filling the tightest machines first put most tasks of a wide array behind a fetch.
     rooms = [room(0, 2), room(1, 4, warm=[7]), room(2, 4, spot=True, warm=[7]), room(3, 8)]
     assert place(ask(10, gang=False, image=7, spot=True), rooms) == [(2, 4), (1, 4), (0, 2)]
+
+
+def test_among_machines_with_the_image_the_one_that_others_need_least_is_taken():
+    rooms = [room(0, 4, warm=[7, 8]), room(1, 4, warm=[7])]
+    rooms[0].stock, rooms[1].stock = 30.0, 10.0
+    assert place(ask(4, image=7), rooms) == [(1, 4)]
