--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -8,7 +8,6 @@
 import asyncio
 import logging
 import math
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -115,7 +114,6 @@
 FIRM_Z = 3.0  # the same where a guarantee has to start sooner than a machine boots
 QUIET_S = 20.0  # without any job for this long, nothing stands ready
 KEEP_IDLE_S = 25.0
-REMEMBER_S = 30.0  # machines are let go by the highest target of so long
 TRIM_AFTER_S = 30.0  # a new leader lets nothing go before it has seen this much
 DEAR = 2.5  # a pool is no substitute for another that costs so much less
 
@@ -149,7 +147,6 @@
         self.targets = Targets()
         self.rate_solid = self.rate_other = 0.0  # arrivals, in the unit of demand a second
         self.need_solid = self.need_other = 0.0
-        self.lately: deque[tuple[float, Targets]] = deque()
         self.counted: set[str] = set()
         self.unmeasured = False
         self.measured_at = self.busy_at = -1e9
@@ -170,7 +167,6 @@
         self.unmeasured = not self.fresh()
         self.rate_solid = self.rate_other = 0.0
         self.counted.clear()
-        self.lately.clear()
         self.measured_at = self.busy_at = self.clock()
         self.serial = 0
         self.began_at = self.clock()
@@ -379,7 +375,6 @@
             self.busy_at = now
         elif now - self.busy_at > QUIET_S:
             self.counted.clear()
-            self.lately.clear()
             self.targets = Targets()
             return
         unit = max((self.size_of(i) for i in range(len(self.fleet.type_info))), default=1.0) or 1.0
@@ -393,9 +388,6 @@
         t.total = solid + other + margin(self.rate_solid + self.rate_other, FIRM_Z if floor else TOTAL_Z)
         t.total = max(t.total, t.solid, floor)
         self.targets = t
-        self.lately.append((now, t))
-        while now - self.lately[0][0] > REMEMBER_S:
-            self.lately.popleft()
 
     def _log_need(self, now: float) -> None:
         """Why machines are rented and returned, in one line."""
@@ -465,11 +457,9 @@
 
     def trim(self, now: float) -> None:
         """Let go of what is beyond need: ordinary machines that hold only work for cheap ones first."""
-        fleet = self.fleet
+        fleet, t = self.fleet, self.targets
         solid, total = self.standing(now)
-        # What was needed a moment ago will be again: a new machine costs a boot and its fetches.
-        over_solid = solid - max((t.solid for _, t in self.lately), default=0.0)
-        over = total - max((t.total for _, t in self.lately), default=0.0)
+        over_solid, over = solid - t.solid, total - t.total
         waits = any(w.job.spec is not None for w in self.scheduler.waiting.values())
         draining = [m for m in fleet.machines.values() if m.phase is Phase.DRAINING]
         for m in draining:
