--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -422,15 +422,17 @@
         return 3.2 * self.params.workers.report_s if m.spot else lease + 25.0
 
     def _cut_zones(self, now: float) -> set[int]:
-        """Zones most of whose machines are silent: the network's trouble, not the machines'.
+        """Zones most of whose machines are late with a report: the network's trouble, not the machines'.
 
-        After a cut of half a minute each of them had been deleted and was rented again.
+        After a cut of half a minute each of them had been deleted and was rented again. Being late is
+        enough here: the first to count as silent are so two seconds before most of their zone.
         """
-        silent: dict[int, list[bool]] = {}
+        late: dict[int, list[bool]] = {}
+        after = 1.8 * self.params.workers.report_s
         for m in self.fleet.machines.values():
-            if m.phase in (Phase.UP, Phase.DRAINING) and m.up_at >= 0:
-                silent.setdefault(m.zone, []).append(m.silent)
-        return {z for z, s in silent.items() if sum(s) >= 3 and 2 * sum(s) > len(s)}
+            if m.phase in (Phase.UP, Phase.DRAINING, Phase.NOTICED) and m.up_at >= 0:
+                late.setdefault(m.zone, []).append(now - m.last_beat > after)
+        return {z for z, s in late.items() if sum(s) >= 3 and 2 * sum(s) > len(s)}
 
     def firm_floor(self) -> float:
         """A guarantee that must start sooner than a machine boots has to stand ready."""
--- a/tests/test_cloud.py
+++ b/tests/test_cloud.py
@@ -181,3 +181,17 @@
     cluster.fleet.gone(cluster.fleet.machines["vm-1"], "deleted")
     renting.take_list([wire.Listed(name="vm-1", type="g4", zone="east", phase="running")], cluster.clock())
     assert "vm-1" not in cluster.fleet.machines
+
+
+def test_the_first_silent_machines_of_a_cut_zone_are_not_deleted_either(cluster, renting):
+    """Reports are spread over two seconds, and cheap machines are given up after six."""
+    cluster.clock.tick(60.0)
+    for n in range(8):
+        cluster.clock.tick(0.25)
+        cluster.beat(f"vm-{n}", zone="west", spot=True)
+    for _ in range(26):
+        cluster.clock.tick(0.25)
+        cluster.beat("vm-9", zone="east")
+        cluster.fleet.expire(cluster.clock())
+        assert renting.to_return(cluster.clock()) == []
+    assert any(m.silent for m in cluster.fleet.machines.values())
