Try: two different fetches avoid sharing a machine

Cause supposed: cold starts of Table Ronde: tasks whose machine fetched two images ran after 28 to 34 s, others after 17.

--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -97,8 +97,10 @@
         assert info is not None
         cpus, gpus, memory = info.cpus, info.gpus, info.memory
         warm = set(m.images)
-        for job, _ in m.entries.values():
+        fetching = False
+        for job, a in m.entries.values():
             spec = job.spec
+            fetching = fetching or (a.phase in ("", "pulling") and job.image not in m.images)
             if spec is not None:
                 cpus -= spec.cpus
                 gpus -= spec.gpus
@@ -106,7 +108,8 @@
                 warm.add(job.image)  # being fetched: one fetch serves all tasks that wait for it
         price = info.spot_price if m.spot else info.price
         stock = self.fleet.stock(m)
-        return Room(m.index, m.type, m.zone, m.spot, cpus, gpus, memory, price, m.slow + m.errors, warm, stock)
+        slow = m.slow + m.errors
+        return Room(m.index, m.type, m.zone, m.spot, cpus, gpus, memory, price, slow, warm, fetching, stock)
 
     def _still_waits(self, ref: str) -> bool:
         job = self.table.open.get(ref)
@@ -322,7 +325,9 @@
         room.cpus -= spec.cpus * n
         room.gpus -= spec.gpus * n
         room.memory -= spec.memory * n
-        room.warm = {*room.warm, job.image}
+        if job.image not in room.warm:
+            room.fetching = True
+            room.warm = {*room.warm, job.image}
 
     def _whole(self, job: Job) -> bool:
         """Whether each task needs most of an ordinary machine."""
