--- a/hookwall/placement.py
+++ b/hookwall/placement.py
@@ -26,7 +26,6 @@
     price: float = 0.0
     penalty: float = 0.0
     warm: frozenset[int] | set[int] = frozenset()
-    fetching: bool = False  # another image is on its way there, and shares the rate
     stock: float = 0.0  # GB of images there that jobs of whole machines use
 
 
@@ -188,9 +187,8 @@
     """Where the job's tasks go now: pairs of machine and number of tasks.
 
     The ranked shapes are: machines that have the image and are of the cheap kind if the job may use
-    it; machines that have the image; machines that fetch nothing else; any. A gang takes a shape only
-    if it serves all tasks; an array takes the first shape that serves all, and else goes in portions,
-    as many as fit.
+    it; machines that have the image; any. A gang takes a shape only if it serves all tasks; an array
+    takes the first shape that serves all, and else as many as fit anywhere.
     """
     fit = [r for r in rooms if allowed(ask, r)]
     if not fit or ask.count <= 0:
@@ -208,25 +206,14 @@
         got = _zones(ask, warm, whole=True)
         if got:
             return got
-    quiet = [r for r in fit if not r.fetching or ask.image in r.warm]
-    if len(quiet) < len(fit):
-        got = _zones(ask, quiet, whole=True)
-        if got:
-            return got
-    if ask.gang or ask.one_zone or ask.spread or (not warm and len(quiet) == len(fit)):
+    if ask.gang or ask.one_zone or ask.spread or not warm:
         return _zones(ask, fit, whole=ask.gang)
     # No shape serves the whole array, so its tasks go in portions, best shapes first: each task
     # on a machine without the image waits for a fetch.
     result: dict[int, int] = {}
     left = ask.count
     cold = [r for r in fit if ask.image not in r.warm]
-    shapes = (
-        [r for r in warm if r.spot],
-        [r for r in warm if not r.spot],
-        [r for r in cold if not r.fetching],
-        [r for r in cold if r.fetching],
-    )
-    for shape in shapes:
+    for shape in ([r for r in warm if r.spot], [r for r in warm if not r.spot], cold):
         if left > 0 and shape:
             for index, n in _fit(replace(ask, count=left), shape, whole=False):
                 result[index] = result.get(index, 0) + n
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -97,10 +97,8 @@
         assert info is not None
         cpus, gpus, memory = info.cpus, info.gpus, info.memory
         warm = set(m.images)
-        fetching = False
-        for job, a in m.entries.values():
+        for job, _ in m.entries.values():
             spec = job.spec
-            fetching = fetching or (a.phase in ("", "pulling") and job.image not in m.images)
             if spec is not None:
                 cpus -= spec.cpus
                 gpus -= spec.gpus
@@ -108,8 +106,7 @@
                 warm.add(job.image)  # being fetched: one fetch serves all tasks that wait for it
         price = info.spot_price if m.spot else info.price
         stock = self.fleet.stock(m)
-        slow = m.slow + m.errors
-        return Room(m.index, m.type, m.zone, m.spot, cpus, gpus, memory, price, slow, warm, fetching, stock)
+        return Room(m.index, m.type, m.zone, m.spot, cpus, gpus, memory, price, m.slow + m.errors, warm, stock)
 
     def _still_waits(self, ref: str) -> bool:
         job = self.table.open.get(ref)
@@ -325,9 +322,7 @@
         room.cpus -= spec.cpus * n
         room.gpus -= spec.gpus * n
         room.memory -= spec.memory * n
-        if job.image not in room.warm:
-            room.fetching = True
-            room.warm = {*room.warm, job.image}
+        room.warm = {*room.warm, job.image}
 
     def _whole(self, job: Job) -> bool:
         """Whether each task needs most of an ordinary machine."""
