--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -24,6 +24,7 @@
 WARM_GAIN_S = 12.0  # a fetch longer than this is worth making room where the image is
 STOCK_COST_S = 0.2  # for each GB of images that others would have to fetch again
 DECLINE = 0.35  # of the time of a fetch, a job leaves machines without its image to others
+DECLINE_ARRAY = 0.7
 SETTLED_S = 30.0  # a start that lasts this long counts for its user
 
 
@@ -221,6 +222,8 @@
             r for i, r in p.rooms.items()
             if p.held.get(i, job.ref) == job.ref and job.errors.get(self.fleet.by_index[i].name, 0) < 2
         ]  # fmt: skip
+        if not spec.gang:
+            rooms = self._uncontested(job, rooms, now)
         got = self._choose(job, ask, p, rooms, firm)
         if got and self._better_warm(job, ask, p, got, firm, now):
             return
@@ -311,6 +314,29 @@
             w.declined = now
         return now - w.declined < DECLINE * fetch
 
+    def _uncontested(self, job: Job, rooms: list[Room], now: float) -> list[Room]:
+        """In a queue, without the machines whose image another waiting array has, for a short while.
+
+        When everything is full, each freed GPU went to the first in line, and one in four of them then
+        waited for a fetch while a later job's image lay there.
+        """
+        w = self.waiting.get(job.ref)
+        spec = job.spec
+        if w is None or spec is None:
+            return rooms
+        wanted = {
+            o.job.image for o in self.waiting.values()
+            if o.job is not job and o.job.rank == job.rank and o.job.spec is not None and not o.job.spec.gang
+        } - {job.image}  # fmt: skip
+        if not wanted:
+            return rooms
+        rate = min((i.fetch_gb_s for i in self.fleet.type_info if i is not None and i.fetch_gb_s > 0), default=1.0)
+        if w.declined < 0:
+            w.declined = now
+        if now - w.declined > DECLINE_ARRAY * spec.image_gb / rate:
+            return rooms
+        return [r for r in rooms if job.image in r.warm or not wanted & r.warm]
+
     def _widest(self, job: Job) -> int:
         """How many more starts the job's record can name: a value has a limit, and ranges are short."""
         room = self.value_bytes * 0.75 - 700 - 40 * len({a.machine for a in job.active.values()})
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -205,3 +205,24 @@
     up(cluster, "vm-1")
     cluster.scheduler.round()
     assert first.active
+
+
+def test_in_a_queue_arrays_leave_freed_gpus_to_those_whose_image_is_there(cluster):
+    up(cluster, "vm-1")
+    m = cluster.fleet.machines["vm-1"]
+    full = cluster.submit(1, pieces=4, bundle="img-8")
+    cluster.scheduler.round()
+    first = cluster.submit(2, pieces=2, bundle="img-9", sizeGb=10.0)
+    second = cluster.submit(3, pieces=2, bundle="img-8", sizeGb=10.0)
+    cluster.scheduler.round()
+    m.images[cluster.fleet.images.of("img-8")] = 10.0
+    cluster.fleet.drop(full, full.active[0], "done")
+    full.mark_done(0)
+    cluster.scheduler.round()
+    assert len(second.active) == 1 and not first.active
+    cluster.clock.tick(15.0)
+    up(cluster, "vm-1")
+    cluster.fleet.drop(full, full.active[1], "done")
+    full.mark_done(1)
+    cluster.scheduler.round()
+    assert len(first.active) == 1, "but not for ever"
