--- /dev/null
+++ b/hookwall/client.py
@@ -0,0 +1,31 @@
+"""Requests to the platform's own services, one JSON body each way."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+
+JSON = {"Content-Type": "application/json"}
+
+
+class NoAnswer(Exception):
+    """Nothing usable came back; the request may have been executed."""
+
+
+def open_session(connections: int) -> aiohttp.ClientSession:
+    """A session of persistent connections; addresses are numbers, so nothing is looked up."""
+    connector = aiohttp.TCPConnector(limit=connections, keepalive_timeout=30, use_dns_cache=False)
+    return aiohttp.ClientSession(connector=connector, auto_decompress=False)
+
+
+async def call(
+    session: aiohttp.ClientSession, method: str, url: str, body: object, timeout: float
+) -> tuple[int, bytes]:
+    """Status and raw body of one request, or NoAnswer."""
+    data = msgspec.json.encode(body) if body is not None else None
+    try:
+        async with asyncio.timeout(timeout):
+            async with session.request(method, url, data=data, headers=JSON) as answer:
+                return answer.status, await answer.read()
+    except (TimeoutError, aiohttp.ClientError, OSError) as e:
+        raise NoAnswer(type(e).__name__) from None
--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from hookwall import wire
+from hookwall.client import NoAnswer, call, open_session
 from hookwall.fleet import Fleet, Machine, Phase
 from hookwall.jobs import OPEN, Job
 from hookwall.placement import Ask, Room, allowed, units
@@ -46,26 +47,18 @@
         self.bucket = Bucket(rps * 0.9, max(1.0, rps * 1.5), clock)
 
     async def open(self) -> None:
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=8, keepalive_timeout=30, use_dns_cache=False),
-            auto_decompress=False,
-        )
+        self.session = open_session(8)
 
     async def _send(self, method: str, path: str, body: object = None, timeout: float = 4.0) -> tuple[int, object]:
         wait = self.bucket.delay(1.0)
         if wait:
             await asyncio.sleep(wait)
         assert self.session is not None
-        data = msgspec.json.encode(body) if body is not None else None
         try:
-            async with asyncio.timeout(timeout):
-                async with self.session.request(
-                    method, self.base + path, data=data, headers={"Content-Type": "application/json"}
-                ) as answer:
-                    raw = await answer.read()
-                    return answer.status, msgspec.json.decode(raw) if raw else {}
-        except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError) as e:
-            raise Trouble(type(e).__name__) from None
+            status, raw = await call(self.session, method, self.base + path, body, timeout)
+            return status, msgspec.json.decode(raw) if raw else {}
+        except (NoAnswer, msgspec.DecodeError) as e:
+            raise Trouble(str(e)) from None
 
     async def catalog(self) -> Catalog:
         status, body = await self._send("GET", "/catalog")
@@ -182,7 +175,6 @@
             m = fleet.machines.get(item.name)
             fresh = m is None
             m = fleet.machine(item.name, item.type, item.zone, item.spot)
-            m.listed_at = now
             if fresh:
                 m.rented_at = now - item.age_s
                 m.known_at = now if item.phase != "booting" else m.rented_at
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -66,24 +66,18 @@
         "entries",
         "error_jobs",
         "errors",
-        "expired",
         "failed",
         "full_until",
-        "good",
         "held_for",
-        "idle_since",
         "images",
         "index",
         "known_at",
         "last_beat",
-        "listed_at",
-        "missing_since",
         "name",
         "notice_at",
         "phase",
         "rented_at",
         "silent",
-        "slow",
         "solid_at",
         "spot",
         "strays",
@@ -111,15 +105,9 @@
         self.notice_at: float | None = None
         self.errors = 0
         self.error_jobs: set[str] = set()
-        self.good = 0
         self.full_until = -1e9
-        self.listed_at = -1e9
-        self.missing_since: float | None = None
         self.failed = False
-        self.idle_since = now
         self.held_for = ""
-        self.slow = 0.0
-        self.expired = False
         self.silent = False
         self.solid_at = -1e9  # when it last had work that can't go to cheap machines
 
@@ -239,8 +227,6 @@
             if job.spec is not None and not job.spec.spot:
                 m.solid_at = self.clock()
             m.entries.pop((job.ref, a.task), None)
-            if not m.entries:
-                m.idle_since = self.clock()
         if job.active.get(a.task) is a:
             job.remove(a.task)
         if log.isEnabledFor(logging.DEBUG):
@@ -295,8 +281,6 @@
                     self.drop(job, a, "a later tenure")
         m.tenure, m.tick, m.token = b.tenure, b.tick, max(m.token, b.token)
         m.last_beat = m.answered = now
-        m.expired = False
-        m.missing_since = None
         if b.notice_s is not None and m.notice_at is None:
             m.notice_at = now + b.notice_s
             if m.phase in (Phase.UP, Phase.SICK, Phase.DRAINING):
@@ -314,7 +298,7 @@
         current = b.token == self.token
         for key, (job, a) in list(m.entries.items()):
             if key not in seen:
-                self._absent(m, job, a, b.tick, current, orders, now)
+                self._absent(m, job, a, current, orders)
         if m.phase is Phase.NOTICED:
             self._leave(m, now)
         return orders[:MOST_ORDERS]
@@ -361,9 +345,7 @@
             orders.append(wire.stop(t.piece, t.attempt, a.stop_grace))
         return True
 
-    def _absent(
-        self, m: Machine, job: Job, a: Active, tick: int, current: bool, orders: list[Order], now: float
-    ) -> None:
+    def _absent(self, m: Machine, job: Job, a: Active, current: bool, orders: list[Order]) -> None:
         """A start that the records name and the report does not."""
         wanted = job.phase == OPEN and a.stop_grace is None and not a.finished
         if not wanted or m.phase is not Phase.UP:
@@ -380,12 +362,10 @@
             # It was reported before and is not now, without having exited: it can't be there.
             self.drop(job, a, "vanished")
             return
-        a.sent_tick = tick
         orders.append(wire.launch(job.ref, a.task, a.attempt))
 
     def _exited(self, m: Machine, job: Job, a: Active, cause: str, saved: bool) -> None:
         if cause == "done":
-            m.good += 1
             m.errors = 0
             m.error_jobs.clear()
             if job.spec is not None:
@@ -436,7 +416,7 @@
         many = job.active.values() if job.spec is not None and job.spec.gang else (a,)
         for x in many:
             if x.stop_grace is None:
-                x.stop_grace, x.stop_why = grace, why
+                x.stop_grace = grace
         log.debug("%s/%d on %s is to stop: %s", job.ref, a.task, a.machine, why)
 
     # -- time ----------------------------------------------------------------------------------
@@ -456,8 +436,6 @@
             if m.entries and now - heard > self.lease_gone:
                 log.info("machine %s: lease is over, %d tasks gone", m.name, len(m.entries))
                 self.drop_all(m, "the lease is over")
-            if now - heard > self.lease_gone:
-                m.expired = True
 
     def usable(self, m: Machine, now: float) -> bool:
         """Whether new tasks may be placed here."""
--- a/hookwall/jobs.py
+++ b/hookwall/jobs.py
@@ -57,11 +57,9 @@
         "machine",
         "phase",
         "running_since",
-        "sent_tick",
         "since",
         "stop_grace",
         "stop_sent",
-        "stop_why",
         "task",
         "tenure",
     )  # fmt: skip
@@ -71,10 +69,8 @@
         self.phase = ""  # as the worker last reported it; "" until it has
         self.since = now
         self.running_since = -1.0
-        self.sent_tick = -1  # the tick of the report that a launch answered, if any
         self.stop_grace: float | None = None
         self.stop_sent = -1e9
-        self.stop_why = ""
         self.finished = False
 
 
@@ -106,7 +102,6 @@
         "team",
         "types",
         "void",
-        "waiting_since",
         "writing",
         "zone",
     )  # fmt: skip
@@ -134,7 +129,6 @@
         self.image = self.team = self.rank = -1
         self.types: frozenset[int] | None = None
         self.zone = -1
-        self.waiting_since = -1.0
         self.raw: object = None  # the record as stored
         self.void = False  # the record has to be taken again even if its stamp is known
 
@@ -257,7 +251,7 @@
             return
         try:
             job.take(value, stamp, self.clock())
-        except (ValueError, TypeError, IndexError, msgspec.ValidationError) as e:
+        except (ValueError, TypeError, IndexError, AttributeError, msgspec.ValidationError) as e:
             log.error("record of %s is malformed: %s", ref, e)
             return
         self.note(job)
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -107,7 +107,7 @@
                 warm.add(job.image)  # being fetched: one fetch serves all tasks that wait for it
         price = info.spot_price if m.spot else info.price
         stock = self.fleet.stock(m)
-        return Room(m.index, m.type, m.zone, m.spot, cpus, gpus, memory, price, m.slow + m.errors, warm, stock)
+        return Room(m.index, m.type, m.zone, m.spot, cpus, gpus, memory, price, float(m.errors), warm, stock)
 
     def _still_waits(self, ref: str) -> bool:
         job = self.table.open.get(ref)
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -14,6 +14,7 @@
 import aiohttp
 import msgspec
 
+from hookwall.client import NoAnswer, call, open_session
 from hookwall.settings import State
 
 log = logging.getLogger("hookwall.store")
@@ -90,10 +91,7 @@
         self.lead(False)
 
     async def open(self) -> None:
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=64, keepalive_timeout=30, use_dns_cache=False),
-            auto_decompress=False,
-        )
+        self.session = open_session(64)
 
     def lead(self, leading: bool) -> None:
         """Take a leader's or a follower's share of the service's limits."""
@@ -139,17 +137,11 @@
         if max(wait, more) > 0:
             await asyncio.sleep(max(wait, more))
         assert self.session is not None
-        data = msgspec.json.encode(body) if body is not None else None
         try:
-            async with asyncio.timeout(timeout):
-                async with self.session.request(
-                    method, self.base + path, data=data, headers={"Content-Type": "application/json"}
-                ) as answer:
-                    raw = await answer.read()
-                    status = answer.status
-        except (TimeoutError, aiohttp.ClientError, OSError) as e:
-            self._bad(type(e).__name__)
-            raise Unknown(type(e).__name__) from None
+            status, raw = await call(self.session, method, self.base + path, body, timeout)
+        except NoAnswer as e:
+            self._bad(str(e))
+            raise Unknown(str(e)) from None
         if status == 503:
             self._bad("503")
             raise Refused("503")
@@ -186,12 +178,15 @@
                 raise Unknown(f"status {status}")
             if first is None:
                 first = body["epoch"]
-            entries = body.get("entries") or []
-            for e in entries:
-                found.append((e["k"], e["value"], e["stamp"]))
-            if not body.get("more") or not entries:
+            page = [
+                (e["k"], e.get("value"), e["stamp"])
+                for e in body.get("entries") or []
+                if isinstance(e, dict) and isinstance(e.get("k"), str) and isinstance(e.get("stamp"), int)
+            ]
+            found.extend(page)
+            if not body.get("more") or not page:
                 return found, first
-            after = entries[-1]["k"]
+            after = page[-1][0]
 
     async def commit(
         self,
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,6 +1,12 @@
 """Pacing towards the state service."""
 
-from hookwall.store import Bucket, Store
+import asyncio
+
+import pytest
+
+from hookwall import store as st
+from hookwall.client import NoAnswer
+from hookwall.store import Bucket, Refused, Store, Unknown
 
 
 def test_a_refused_request_costs_nothing(clock):
@@ -24,3 +30,41 @@
     s.lead(True)
     s.writes.delay(s.writes.burst)
     assert s.writes.delay(float(s.batch()), most=1.0) is not None
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        ((200, b"[]"), Unknown),
+        ((200, b"{oops"), Unknown),
+        ((200, b"{}"), Unknown),
+        ((200, b'{"epoch":"x"}'), Unknown),
+        ((500, b"{}"), Unknown),
+        ((503, b""), Refused),
+        ((429, b"{}"), Refused),
+        (None, Unknown),
+    ],
+)
+def test_a_bad_answer_of_the_state_service_is_one_of_two_errors(params, clock, monkeypatch, answer, error):
+    async def call(session, method, url, body, timeout):
+        if answer is None:
+            raise NoAnswer("TimeoutError")
+        return answer
+
+    monkeypatch.setattr(st, "call", call)
+    s = Store("h:1", params.state, 3, clock)
+    s.session = object()
+    with pytest.raises(error):
+        asyncio.run(s.commit([("a", 0)], [("a", {})]))
+    with pytest.raises(error):
+        asyncio.run(s.scan("a"))
+
+
+def test_malformed_entries_of_a_page_are_passed_over(params, clock, monkeypatch):
+    async def call(session, method, url, body, timeout):
+        return 200, b'{"epoch":4,"entries":[3,{"k":"a","stamp":2,"value":1},{"k":5},{}],"more":false}'
+
+    monkeypatch.setattr(st, "call", call)
+    s = Store("h:1", params.state, 3, clock)
+    s.session = object()
+    assert asyncio.run(s.scan("a")) == ([("a", 1, 2)], 4)
