--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -23,7 +23,6 @@
 SMOOTH_S = 90.0
 WARM_GAIN_S = 12.0  # a fetch longer than this is worth making room where the image is
 STOCK_COST_S = 0.2  # for each GB of images that others would have to fetch again
-JOB_COST_S = 8.0  # for each job that is delayed: it is done only with its last task
 DECLINE = 0.35  # of the time of a fetch, a job leaves machines without its image to others
 DECLINE_ARRAY = 0.7
 SETTLED_S = 30.0  # a start that lasts this long counts for its user
@@ -494,7 +493,6 @@
             rate = info.fetch_gb_s if info is not None and info.fetch_gb_s > 0 else 1.0
             cost = 0.0 if job.image in room.warm else spec.image_gb / rate
             cost += sum(self._loss(o, a, now) for o, a in chosen) / n + STOCK_COST_S * room.stock
-            cost += JOB_COST_S * len({o.ref for o, _ in chosen}) / n
             options.append(((cost, index), index, n, chosen))
         options.sort(key=lambda o: o[0])
         if ask.one_zone and spec.gang:
