Need is counted in machines, so that a type without GPUs counts too

Cause: reading the code for catalogs of several types: need was in GPUs, a type without any divided by zero in the margin, and its machines drained while in use.

--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -115,7 +115,7 @@
 
 @dataclass(slots=True)
 class Targets:
-    """How much should stand ready, in the unit of demand (GPUs, or CPUs without any)."""
+    """How many machines should stand ready."""
 
     solid: float = 0.0
     total: float = 0.0
@@ -138,7 +138,7 @@
     ) -> None:
         self.params, self.fleet, self.scheduler, self.client, self.clock = params, fleet, scheduler, client, clock
         self.targets = Targets()
-        self.rate_solid = self.rate_other = 0.0  # arrivals, in the unit of demand a second
+        self.rate_solid = self.rate_other = 0.0  # arrivals, in machines a second
         self.need_solid = self.need_other = 0.0
         self.counted: set[str] = set()
         self.unmeasured = False
@@ -278,51 +278,39 @@
         have_solid, have = self.standing(now)
         out: dict[Pool, int] = {}
         pools = self.pools(now)
-        cheapest = min((self.price(p) / self.size_of(p[0]) for p in pools), default=0.0)
+        cheapest: dict[int, float] = {}
+        for pool in pools:
+            cheapest[pool[0]] = min(cheapest.get(pool[0], math.inf), self.price(pool))
         for solid_only in (True, False):
             for pool in pools:
-                size = self.size_of(pool[0])
                 if solid_only and pool[2]:
                     continue
-                if not solid_only and self.price(pool) / size > DEAR * cheapest:
+                if not solid_only and self.price(pool) > DEAR * cheapest[pool[0]]:
                     continue
                 lack = (t.solid - have_solid) if solid_only else (t.total - have)
-                n = min(int(lack / size), MOST_PER_HIRE)
+                n = min(int(lack + 1e-9), MOST_PER_HIRE)
                 if n > 0:
                     out[pool] = out.get(pool, 0) + n
-                    have += n * size
+                    have += n
                     if not pool[2]:
-                        have_solid += n * size
+                        have_solid += n
         return out
 
     # -- how much is enough ----------------------------------------------------------------------
 
-    def size_of(self, type_: int) -> float:
-        """A machine's size in the unit of demand: GPUs, or CPUs where no machine has GPUs."""
-        info = self.fleet.info(type_)
-        if info is None:
-            return 0.0
-        return info.gpus if self.by_gpus() else info.cpus
-
-    def by_gpus(self) -> bool:
-        return any(i is not None and i.gpus > 0 for i in self.fleet.type_info)
-
     def weight(self, job: Job) -> float:
-        """What one task takes of a machine, in the unit of demand; whatever it uses most counts."""
+        """What one task takes of a machine that it may use; whatever it uses most counts."""
         spec = job.spec
         best = 0.0
         for i, info in enumerate(self.fleet.type_info):
             if info is None or spec is None or (job.types is not None and i not in job.types):
                 continue
-            share = max(
-                spec.gpus / info.gpus if info.gpus else 0.0,
-                spec.cpus / info.cpus if info.cpus else 0.0,
-                spec.memory / info.memory if info.memory else 0.0,
-            )
-            if share > 1.0:
+            needs = ((spec.gpus, info.gpus), (spec.cpus, info.cpus), (spec.memory, info.memory))
+            if any(need > have + 1e-9 for need, have in needs):
                 continue
-            size = self.size_of(i) * (1.0 if share > 0.5 else share)
-            best = size if best == 0.0 else min(best, size)
+            share = max(need / have for need, have in needs if have > 0)
+            share = 1.0 if share > 0.5 else share
+            best = share if best == 0.0 else min(best, share)
         return best
 
     def measure(self, now: float) -> None:
@@ -369,10 +357,9 @@
             self.counted.clear()
             self.targets = Targets()
             return
-        unit = max((self.size_of(i) for i in range(len(self.fleet.type_info))), default=1.0) or 1.0
 
         def margin(rate: float, z: float) -> float:
-            return unit * z * math.sqrt(2.0 * rate * horizon / unit)
+            return z * math.sqrt(2.0 * rate * horizon)
 
         floor = self.firm_floor()
         t = Targets()
@@ -431,22 +418,22 @@
         boot = max((i.boot_s for i in self.fleet.type_info if i is not None), default=0.0)
         if not any(o.kind == "guarantee" and (o.within_s or 1e9) < boot for o in self.params.objectives):
             return 0.0
-        return sum((t.gpus if self.by_gpus() else t.cpus) for t in self.params.teams)
-
-    def standing(self, now: float) -> tuple[float, float]:
-        """(solid, all) that stands ready or is on its way, in the unit of demand."""
-        solid = total = 0.0
+        gpus = max((i.gpus for i in self.fleet.type_info if i is not None), default=0.0)
+        cpus = max((i.cpus for i in self.fleet.type_info if i is not None), default=0.0)
+        by_gpus = sum(t.gpus for t in self.params.teams) / gpus if gpus else 0.0
+        by_cpus = sum(t.cpus for t in self.params.teams) / cpus if cpus else 0.0
+        return max(by_gpus, by_cpus)
+
+    def standing(self, now: float) -> tuple[int, int]:
+        """(ordinary, all) machines that stand ready or are on their way."""
+        solid = total = 0
         for m in self.fleet.machines.values():
             if (m.phase is Phase.UP and not m.silent) or (m.phase is Phase.BOOTING and not self.overdue(m, now)):
-                size = self.size_of(m.type)
-                total += size
-                if not m.spot:
-                    solid += size
+                total += 1
+                solid += not m.spot
         for h in self.hires:
-            size = self.size_of(h.pool[0]) * h.count
-            total += size
-            if not h.pool[2]:
-                solid += size
+            total += h.count
+            solid += 0 if h.pool[2] else h.count
         return solid, total
 
     def trim(self, now: float) -> None:
@@ -457,17 +444,18 @@
         waits = any(w.job.spec is not None for w in self.scheduler.waiting.values())
         draining = [m for m in fleet.machines.values() if m.phase is Phase.DRAINING]
         for m in draining:
-            size = self.size_of(m.type)
             if waits or over_solid < -1e-6 or over < -1e-6:
                 fleet.become(m, Phase.UP, "needed again")
-                over_solid += size
-                over += size
+                over_solid += 1
+                over += 1
         if waits:
             return
         idle = []
         for m in fleet.machines.values():
             if m.phase is not Phase.UP or m.held_for or m.strays or m.silent:
                 continue
+            if m.entries and len(fleet.type_info) > 1:
+                continue  # with several types, need in all says little about the need of this one
             if m.spot and now - m.up_at > KEEP_IDLE_S:
                 # Also with tasks on it: spread thinly over many machines they kept all of them.
                 idle.append(m)
@@ -477,14 +465,13 @@
         # The dearest first, then those that hold and do least.
         idle.sort(key=lambda m: (-self.price((m.type, m.zone, m.spot)), fleet.stock(m), len(m.entries), m.index))
         for m in idle:
-            size = self.size_of(m.type)
-            if over < size - 1e-6:
+            if over < 1 - 1e-6:
                 return
             if not m.spot:
-                if over_solid < size - 1e-6:
+                if over_solid < 1 - 1e-6:
                     continue
-                over_solid -= size
-            over -= size
+                over_solid -= 1
+            over -= 1
             fleet.become(m, Phase.DRAINING, "beyond need")
 
     # -- returning -----------------------------------------------------------------------------
