--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from hookwall.fleet import Fleet, Machine, Phase
+from hookwall.fleet import Fleet, Machine
 from hookwall.jobs import DONE, OPEN, Active, Job, JobTable
 from hookwall.placement import Ask, Room, place, units
 from hookwall.settings import Params
@@ -24,7 +24,6 @@
 WARM_GAIN_S = 12.0  # a fetch longer than this is worth making room where the image is
 STOCK_COST_S = 0.2  # for each GB of images that others would have to fetch again
 DECLINE = 0.35  # of the time of a fetch, a job leaves machines without its image to others
-SOON = 0.5  # of the time of a fetch, a busy machine with the image is waited for
 DECLINE_ARRAY = 0.7
 SETTLED_S = 30.0  # a start that lasts this long counts for its user
 
@@ -284,7 +283,7 @@
         if fetch < WARM_GAIN_S:
             return False
         w = self.waiting.get(job.ref)
-        if self._declines(job, room, fetch, w, now) or self._soon_warm(job, fetch, w, now):
+        if self._declines(job, room, fetch, w, now):
             return True
         if w is not None and now - w.since > WARM_GAIN_S:
             return False
@@ -315,28 +314,6 @@
             w.declined = now
         return now - w.declined < DECLINE * fetch
 
-    def _soon_warm(self, job: Job, fetch: float, w: Waiting | None, now: float) -> bool:
-        """Whether a machine that has the image is likely to be free long before a fetch would end.
-
-        With an image that takes longer to fetch than the user wants to wait, a start without it is
-        sure to be late, while one of several busy machines that have it is free soon.
-        """
-        spec = job.spec
-        assert spec is not None
-        if w is not None and now - w.since > SOON * fetch:
-            return False
-        busy = 0
-        for m in self.fleet.machines.values():
-            if m.phase is Phase.UP and not m.silent and job.image in m.images and (spec.spot or not m.spot):
-                zone = job.zone < 0 or m.zone == job.zone
-                busy += zone and (job.types is None or m.type in job.types) and self._has_whole(m.index)
-        rivals = sum(o.job.image == job.image and o.job is not job for o in self.waiting.values())
-        if busy <= rivals or spec.estimate_s / (busy - rivals) > SOON * fetch:
-            return False
-        if w is None:
-            self.waiting[job.ref] = Waiting(job, 1, now)
-        return True
-
     def _uncontested(self, job: Job, rooms: list[Room], now: float) -> list[Room]:
         """In a queue, without the machines whose image another waiting array has, for a short while.
 
