--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,115 @@
+"""The HTTP door over a real socket on loopback: what can't be taken is refused at once."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from aiohttp import web
+from conftest import CATALOG, description
+
+from hookwall.jobs import JobTable, UserApi
+from hookwall.server import MOST_AT_ONCE, Door
+from hookwall.store import Confirmer
+
+
+def talk(params, state, clock, script):
+    async def main():
+        table = JobTable(clock)
+        confirmer = Confirmer(state, None)
+        api = UserApi(params, table, state, confirmer)
+        confirmer.refresh = api.refresh
+        api.catalog = CATALOG
+
+        async def beat(body):
+            return 421, b"{}"
+
+        door = Door(api, beat, lambda: True)
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(web.Server(door.handle, access_log=None), "127.0.0.1", 0)
+        confirming = asyncio.create_task(confirmer.run())
+        base = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        try:
+            async with aiohttp.ClientSession() as session:
+                return await script(session, base, door)
+        finally:
+            confirming.cancel()
+            server.close()
+
+    return asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status"),
+    [
+        ("GET", "/up", None, 200),
+        ("POST", "/v1/jobs", b"{", 400),
+        ("POST", "/v1/jobs", b"x" * 70_000, 413),
+        ("POST", "/agent/beat", b"x" * 70_000, 413),
+        ("GET", "/v1/jobs/run-000009", None, 404),
+        ("GET", "/v1/jobs/../../etc", None, 404),
+        ("POST", "/v1/jobs/run-000009/cancel", None, 404),
+        ("POST", "/v1/jobs/run-000009/other", None, 404),
+        ("DELETE", "/v1/jobs/run-000009", None, 405),
+        ("GET", "/elsewhere", None, 404),
+    ],
+)
+def test_what_is_answered_at_the_door(params, state, clock, method, path, body, status):
+    async def script(session, base, door):
+        async with session.request(method, base + path, data=body) as answer:
+            return answer.status
+
+    assert talk(params, state, clock, script) == status
+
+
+def test_a_body_without_a_length_is_cut_off_at_the_limit(params, state, clock):
+    async def endless():
+        for _ in range(40):
+            yield b"x" * 4096
+
+    async def script(session, base, door):
+        async with session.post(base + "/v1/jobs", data=endless()) as answer:
+            return answer.status
+
+    assert talk(params, state, clock, script) == 413
+
+
+def test_a_job_over_http(params, state, clock):
+    async def script(session, base, door):
+        seen = []
+        for method, path, body in (
+            ("POST", "/v1/jobs", description(1)),
+            ("POST", "/v1/jobs", description(1)),
+            ("GET", "/v1/jobs/run-000001", None),
+            ("POST", "/v1/jobs/run-000001/cancel", None),
+            ("GET", "/v1/jobs/run-000001", None),
+        ):
+            async with session.request(method, base + path, json=body) as answer:
+                seen.append((answer.status, (await answer.json())["phase"]))
+        return seen
+
+    assert talk(params, state, clock, script) == [
+        (201, "pending"), (200, "pending"), (200, "pending"), (200, "withdrawn"), (200, "withdrawn"),
+    ]  # fmt: skip
+
+
+def test_overload_is_told_at_once_with_when_to_come_back(params, state, clock):
+    async def script(session, base, door):
+        door.at_once = MOST_AT_ONCE
+        async with session.get(base + "/v1/jobs/run-000001") as answer:
+            return answer.status, answer.headers.get("Retry-After")
+
+    assert talk(params, state, clock, script) == (429, "1")
+
+
+def test_a_surprise_in_a_handler_does_not_end_the_node(params, state, clock):
+    async def script(session, base, door):
+        async def broken(ref):
+            raise RuntimeError("surprise")
+
+        door.api.get = broken
+        async with session.get(base + "/v1/jobs/run-000001") as answer:
+            first = answer.status
+        async with session.get(base + "/up") as answer:
+            return first, answer.status
+
+    assert talk(params, state, clock, script) == (503, 200)
