One place each for fetch time, drift, a job's conditions and its rivals

Read again as a whole: the scheduler spelled out placement.allowed twice; fetch time was computed in four places; _declines and _uncontested were twins; keepers' keys were told from jobs' twice after a conflict; the drift that leases and leaderships rest on stood in two modules; two tests shared their set-up. Behaviour is the same, but for a catalog that names no fetch rate: such fetches count as taking no time everywhere, where two of four places assumed 1 GB/s.

--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -384,8 +384,7 @@
         best = math.inf
         for i, info in enumerate(self.fleet.type_info):
             if info is not None and job.spec is not None and (job.types is None or i in job.types):
-                fetch = job.spec.image_gb / info.fetch_gb_s if info.fetch_gb_s > 0 else 0.0
-                best = min(best, info.boot_s + fetch)
+                best = min(best, info.boot_s + self.fleet.fetch_s(i, job.spec.image_gb))
         return best if best < math.inf else 0.0
 
     def _patience(self, m: Machine, cut: set[int]) -> float:
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -19,12 +19,12 @@
 from hookwall import wire
 from hookwall.jobs import OPEN, WITHDRAWN, Active, Job, JobTable
 from hookwall.keeper import Kept
+from hookwall.leadership import DRIFT
 from hookwall.settings import Params
 from hookwall.wire import Beat, Catalog, MachineType, Order
 
 log = logging.getLogger("hookwall.fleet")
 
-DRIFT = 0.002
 LEASE_MARGIN_S = 0.5
 MOST_ORDERS = 300
 STOP_AGAIN_S = 1.5
@@ -166,6 +166,11 @@
     def info(self, type_: int) -> MachineType | None:
         return self.type_info[type_] if 0 <= type_ < len(self.type_info) else None
 
+    def fetch_s(self, type_: int, gb: float) -> float:
+        """How long a machine of the type takes to fetch an image; 0 where the catalog names no rate."""
+        info = self.info(type_)
+        return gb / info.fetch_gb_s if info is not None and info.fetch_gb_s > 0 else 0.0
+
     # -- machines ------------------------------------------------------------------------------
 
     def become(self, m: Machine, phase: Phase, why: str) -> None:
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -229,10 +229,11 @@
         if st.LEADER in conflict:
             self.leadership.step_down("a write was refused: the leader key has changed")
             return
-        if any(key in self.keep_keys for key in conflict):
-            await self._keepers_changed(conflict)
+        changed = [key for key in conflict if key in self.keep_keys]
+        if changed:
+            await self._keepers_changed(changed)
         for key in conflict:
-            if key in self.keep_keys:
+            if key in changed:
                 continue
             try:
                 await self._refresh(key)
@@ -243,12 +244,10 @@
         elif not conflict:
             await asyncio.sleep(0.2)
 
-    async def _keepers_changed(self, conflict: list[str]) -> None:
+    async def _keepers_changed(self, keys: list[str]) -> None:
         """A follower keeps leases that this leader did not know of: what it believed to be over may not be."""
         log.info("keepers have changed; decisions that are not stored are void")
-        for key in conflict:
-            if key not in self.keep_keys:
-                continue
+        for key in keys:
             try:
                 got = await self.store.get(key)
             except (Refused, Unknown):
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -11,7 +11,7 @@
 
 from hookwall.fleet import Fleet, Machine
 from hookwall.jobs import DONE, OPEN, Active, Job, JobTable
-from hookwall.placement import Ask, Room, place, units
+from hookwall.placement import Ask, Room, allowed, place, units
 from hookwall.settings import Params
 
 log = logging.getLogger("hookwall.scheduler")
@@ -276,11 +276,8 @@
         if not spec.gang or job.tasks > 1:
             return False
         room = p.rooms[got[0][0]]
-        info = self.fleet.info(room.type)
-        if job.image in room.warm or info is None or info.fetch_gb_s <= 0:
-            return False
-        fetch = spec.image_gb / info.fetch_gb_s
-        if fetch < WARM_GAIN_S:
+        fetch = self.fleet.fetch_s(room.type, spec.image_gb)
+        if job.image in room.warm or fetch < WARM_GAIN_S:
             return False
         w = self.waiting.get(job.ref)
         if self._declines(job, room, fetch, w, now):
@@ -295,24 +292,30 @@
             self.waiting[job.ref] = Waiting(job, 1, now)
         return True
 
+    def _rival_images(self, job: Job) -> set[int]:
+        """Images of the other jobs of its rank and kind that wait, but for its own."""
+        spec = job.spec
+        assert spec is not None
+        return {
+            o.job.image for o in self.waiting.values()
+            if o.job is not job and o.job.rank == job.rank and o.job.spec is not None and o.job.spec.gang == spec.gang
+        } - {job.image}  # fmt: skip
+
+    def _leaves(self, w: Waiting, now: float, limit: float) -> bool:
+        """Whether a job goes on leaving machines without its image to others; it does so for a while."""
+        if w.declined < 0:
+            w.declined = now
+        return now - w.declined < limit
+
     def _declines(self, job: Job, room: Room, fetch: float, w: Waiting | None, now: float) -> bool:
         """Whether to leave a free machine to an equal that has its image there, for a short while.
 
         In a burst the first in line took whatever became free and fetched for half a minute, while
         the next one waited for just that machine: a third of all machines' time went into fetches.
         """
-        if w is None or not any(
-            o.job is not job
-            and o.job.rank == job.rank
-            and o.job.image in room.warm
-            and o.job.spec is not None
-            and o.job.spec.gang
-            for o in self.waiting.values()
-        ):
+        if w is None or not self._rival_images(job) & room.warm:
             return False
-        if w.declined < 0:
-            w.declined = now
-        return now - w.declined < DECLINE * fetch
+        return self._leaves(w, now, DECLINE * fetch)
 
     def _uncontested(self, job: Job, rooms: list[Room], now: float) -> list[Room]:
         """In a queue, without the machines whose image another waiting array has, for a short while.
@@ -321,19 +324,11 @@
         waited for a fetch while a later job's image lay there.
         """
         w = self.waiting.get(job.ref)
-        spec = job.spec
-        if w is None or spec is None:
+        if w is None or job.spec is None:
             return rooms
-        wanted = {
-            o.job.image for o in self.waiting.values()
-            if o.job is not job and o.job.rank == job.rank and o.job.spec is not None and not o.job.spec.gang
-        } - {job.image}  # fmt: skip
-        if not wanted:
-            return rooms
-        rate = min((i.fetch_gb_s for i in self.fleet.type_info if i is not None and i.fetch_gb_s > 0), default=1.0)
-        if w.declined < 0:
-            w.declined = now
-        if now - w.declined > DECLINE_ARRAY * spec.image_gb / rate:
+        wanted = self._rival_images(job)
+        fetch = max((self.fleet.fetch_s(i, job.spec.image_gb) for i in range(len(self.fleet.type_info))), default=0.0)
+        if not wanted or not self._leaves(w, now, DECLINE_ARRAY * fetch):
             return rooms
         return [r for r in rooms if job.image in r.warm or not wanted & r.warm]
 
@@ -405,8 +400,7 @@
         left = ask.count
         fit = [
             r for i, r in p.rooms.items()
-            if i not in p.held and (ask.types is None or r.type in ask.types)
-            and (ask.zone < 0 or r.zone == ask.zone) and (ask.spot or not r.spot)
+            if i not in p.held and allowed(ask, r)
         ]  # fmt: skip
         if ask.one_zone and fit:
             by_zone: dict[int, list[Room]] = {}
@@ -472,12 +466,10 @@
         options: list[tuple[tuple, int, int, list[tuple[Job, Active]]]] = []
         for index, room in p.rooms.items():
             m = self.fleet.by_index[index]
-            if index in p.held or (ask.types is not None and room.type not in ask.types):
+            if index in p.held or not allowed(ask, room):
                 continue
             if warm_only and job.image not in room.warm:
                 continue
-            if (ask.zone >= 0 and room.zone != ask.zone) or (room.spot and not ask.spot):
-                continue
             if ask.one_zone and zones and room.zone not in zones:
                 continue
             victims = [
@@ -489,9 +481,7 @@
             chosen, n = self._victims(ask, room, victims, left, now)
             if n <= 0:
                 continue
-            info = self.fleet.info(room.type)
-            rate = info.fetch_gb_s if info is not None and info.fetch_gb_s > 0 else 1.0
-            cost = 0.0 if job.image in room.warm else spec.image_gb / rate
+            cost = 0.0 if job.image in room.warm else self.fleet.fetch_s(room.type, spec.image_gb)
             cost += sum(self._loss(o, a, now) for o, a in chosen) / n + STOCK_COST_S * room.stock
             options.append(((cost, index), index, n, chosen))
         options.sort(key=lambda o: o[0])
--- a/tests/test_cloud.py
+++ b/tests/test_cloud.py
@@ -26,6 +26,15 @@
     return r
 
 
+def idle_beyond_need(cluster, renting):
+    """One machine that nobody has needed for long."""
+    cluster.beat("vm-1")
+    cluster.clock.tick(100.0)
+    cluster.beat("vm-1")
+    renting.measure(cluster.clock())
+    renting.trim(cluster.clock())
+
+
 def test_waiting_jobs_are_packed_into_what_is_rented(cluster, renting):
     cluster.submit(1, pieces=7)
     cluster.submit(2, shape="ensemble", cards=4.0)
@@ -88,11 +97,7 @@
 
 
 def test_an_idle_machine_is_returned_and_gets_no_more_work(cluster, renting):
-    cluster.beat("vm-1")
-    cluster.clock.tick(100.0)
-    cluster.beat("vm-1")
-    renting.measure(cluster.clock())
-    renting.trim(cluster.clock())
+    idle_beyond_need(cluster, renting)
     (m,) = renting.to_return(cluster.clock())
     assert m.phase is Phase.LEAVING
     job = cluster.submit(1)
@@ -101,11 +106,7 @@
 
 
 def test_a_drained_machine_is_used_again_when_jobs_wait(cluster, renting):
-    cluster.beat("vm-1")
-    cluster.clock.tick(100.0)
-    cluster.beat("vm-1")
-    renting.measure(cluster.clock())
-    renting.trim(cluster.clock())
+    idle_beyond_need(cluster, renting)
     job = cluster.submit(1)
     cluster.scheduler.round()
     renting.measure(cluster.clock())
