A machine is used once it shows that our answers reach it; late copies free and revive nothing

Now a report counts as proof of hearing only with our token, in the tenure of the one before and sooner than a worker reports that waited in vain; all else is as good as silence. Reports older than the tenure in a record, and of deleted machines, are not believed. Also: a keeper loses no name that was added while a write was under way, and a store request that is not sent books no write.

--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -409,7 +409,7 @@
         after = 1.8 * self.params.workers.report_s
         for m in self.fleet.machines.values():
             if m.phase in (Phase.UP, Phase.DRAINING, Phase.NOTICED) and m.up_at >= 0:
-                late.setdefault(m.zone, []).append(now - m.last_beat > after)
+                late.setdefault(m.zone, []).append(now - m.heard_us_at > after)
         return {z for z, s in late.items() if sum(s) >= 3 and 2 * sum(s) > len(s)}
 
     def firm_floor(self) -> float:
@@ -493,7 +493,7 @@
             elif m.phase is Phase.BOOTING:
                 if now - m.rented_at > 5.0 * boot and leading > 2 * lease and now - m.known_at > 3 * lease:
                     why = "it never came up"
-            elif m.silent and leading > 2 * lease and now - m.last_beat > self._patience(m, cut):
+            elif m.silent and leading > 2 * lease and now - m.heard_us_at > self._patience(m, cut):
                 why = "its worker is silent"
             elif m.phase is Phase.NOTICED and m.notice_at is not None and now > m.notice_at + 3.0 and m.silent:
                 why = "the cloud has taken it"
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -29,6 +29,7 @@
 LEASE_MARGIN_S = 0.5
 MOST_ORDERS = 300
 STOP_AGAIN_S = 1.5
+UNANSWERED_S = 4.5  # a worker without an answer waits 4 s for it and reports, elsewhere, a second later
 
 
 class Names:
@@ -69,6 +70,8 @@
         "errors",
         "failed",
         "full_until",
+        "heard_us_at",
+        "hears",
         "held_for",
         "images",
         "index",
@@ -110,6 +113,8 @@
         self.full_until = -1e9
         self.failed = False
         self.held_for = ""
+        self.hears = False  # whether its reports show that our answers reach it
+        self.heard_us_at = -1e9  # when one last did
         self.silent = False
         self.room: Room | None = None  # what is free here; None: to be counted anew
         self.solid_at = -1e9  # when it last had work that can't go to cheap machines
@@ -307,16 +312,20 @@
     def report(self, b: Beat) -> list[Order] | None:
         """Take in a report and decide the answer's commands. None: too old to be answered."""
         now = self.clock()
+        if b.machine in self.deleted:
+            return None  # a late copy must not bring back a machine that is gone
         m = self.machine(b.machine, b.type, b.zone, b.spot)
         if (b.tenure, b.tick) <= (m.tenure, m.tick):
             return None
+        if any(a.tenure > b.tenure for _, a in m.entries.values()):
+            # A copy from before the tenure in which the records have started something there: a new
+            # leader that had seen nothing newer took the difference for the end of those tasks.
+            return None
         if m.phase is Phase.BOOTING:
             m.up_at = now
             self._warm_from_hint(m)
             self.become(m, Phase.UP, f"reports after {now - m.known_at:.1f} s")
-        if m.silent:
-            log.info("machine %s reports again", m.name)
-            m.silent = False
+        self._listen(m, b, now)
         if b.tenure > m.tenure:
             for job, a in list(m.entries.values()):
                 if a.tenure < b.tenure:
@@ -345,6 +354,25 @@
             self._leave(m, now)
         return orders[:MOST_ORDERS]
 
+    def _listen(self, m: Machine, b: Beat, now: float) -> None:
+        """Follow whether our answers reach the worker; while they don't it gets no new work.
+
+        Its reports may arrive all the same, as may late copies of them, so that it looks alive while
+        its lease runs out. What shows that an answer arrived is our token, in the tenure of the
+        report before, and sooner than a worker reports that has waited for an answer in vain.
+        """
+        if b.token != self.token or b.tenure != m.tenure:
+            if m.hears:
+                log.info("machine %s reports, but seems not to get our answers", m.name)
+            m.hears = False
+            m.heard_us_at = max(m.heard_us_at, now if m.tenure == 0 else -1e9)
+        elif now - m.last_beat < UNANSWERED_S:
+            m.hears = True
+            m.heard_us_at = now
+            if m.silent:
+                log.info("machine %s reports again", m.name)
+                m.silent = False
+
     def _reported(
         self,
         m: Machine,
@@ -470,8 +498,8 @@
         if self.began is None:
             return
         for m in list(self.machines.values()):
-            if not m.silent and m.up_at >= 0 and now - m.last_beat > self.params.workers.report_s * 3:
-                m.silent = True
+            if not m.silent and m.up_at >= 0 and now - m.heard_us_at > self.params.workers.report_s * 3:
+                m.silent, m.hears = True, False
                 log.info("machine %s is silent", m.name)
                 self.wake()
             if not m.entries or now - max(m.answered, self.began) <= self.lease_gone or self.kept.kept(m.name):
@@ -484,6 +512,7 @@
         """Whether new tasks may be placed here."""
         return (
             m.phase in USABLE
+            and m.hears
             and not m.silent
             and m.tenure > 0
             and not m.strays
--- a/hookwall/keeper.py
+++ b/hookwall/keeper.py
@@ -108,7 +108,8 @@
             self.token, self.stamp, self.hold = token, stamp, hold
             self.until = sent + HOLD_S * (1 - DRIFT) - SLACK_S
             self.kept = set(names)
-            self.wanted.clear()
+            # Not all of them: a name that was added while this write was under way still waits for its own.
+            self.wanted -= self.kept
 
     async def _stop(self, why: str) -> None:
         """Answer no more, and only then say so."""
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -133,6 +133,7 @@
             raise Refused("own budget is used up")
         more = self.requests.delay(1.0, MOST_WAIT_S)
         if more is None:
+            self.writes.level += cost if cost else 0.0  # not sent after all
             raise Refused("own budget is used up")
         if max(wait, more) > 0:
             await asyncio.sleep(max(wait, more))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -160,6 +160,10 @@
 
     def beat(self, name, tasks=(), token=5, tenure=1, zone="east", spot=False, notice=None, tick=None):
         """A worker's report; returns the commands as (verb, piece, attempt)."""
+        if tick is None and name not in self.ticks:
+            # A worker is used once it has shown that it gets answers: by a second report soon after.
+            self.ticks[name] = 0
+            self.beat(name, tasks, token, tenure, zone, spot)
         n = self.ticks[name] = self.ticks.get(name, 0) + 1 if tick is None else tick
         b = wire.Beat(
             machine=name, tenure=tenure, tick=n, token=token, type="g4", zone=zone, spot=spot, notice_s=notice,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -56,6 +56,7 @@
     cluster.beat("vm-2")
     cluster.clock.tick(12.0)
     cluster.beat("vm-2")
+    cluster.beat("vm-2")
     cluster.fleet.expire(cluster.clock())
     cluster.scheduler.round()
     assert job.active[0].machine == "vm-1"
@@ -100,6 +101,7 @@
     job = started(cluster)
     cluster.beat("vm-1", tenure=2, tick=1)
     assert not job.active
+    cluster.beat("vm-1", tenure=2, tick=2)
     cluster.scheduler.round()
     assert (job.active[0].tenure, job.active[0].attempt) == (2, 2)
 
@@ -194,3 +196,69 @@
 @pytest.mark.parametrize("bad", [[("nonsense", 1, "running", None)], [("run-1/x", 1, "exited", None)]])
 def test_nonsense_in_a_report_is_survived(cluster, bad):
     assert cluster.beat("vm-1", bad) == []
+
+
+def placed(cluster, n):
+    """Whether a new job, or one that waits, finds a machine now."""
+    cluster.submit(n)
+    before = sum(len(j.active) for j in cluster.table.open.values())
+    cluster.scheduler.round()
+    return sum(len(j.active) for j in cluster.table.open.values()) > before
+
+
+def test_a_machine_that_gets_no_answers_gets_no_work_until_it_does(cluster):
+    cluster.beat("vm-1")
+    assert placed(cluster, 1)
+    # It heard nothing for a lease, while its reports went on to arrive.
+    for tenure in (2, 3, 4):
+        cluster.clock.tick(15.0)
+        cluster.fleet.expire(cluster.clock())
+        cluster.beat("vm-1", tenure=tenure)
+        assert not placed(cluster, 10 + tenure)
+    assert cluster.fleet.machines["vm-1"].silent, "it looks alive, but is as good as silent, and so replaced"
+    cluster.clock.tick(2.0)
+    cluster.beat("vm-1", tenure=4)
+    assert placed(cluster, 20)
+
+
+def test_a_report_without_our_token_makes_no_machine_usable(cluster):
+    # A new leader has seen nothing newer: this may be a copy from long ago.
+    cluster.beat("vm-1", token=3, tick=7)
+    assert not placed(cluster, 1)
+    cluster.clock.tick(0.5)
+    cluster.beat("vm-1", token=5, tick=8)
+    assert placed(cluster, 2)
+
+
+def test_a_late_copy_of_an_earlier_tenure_frees_nothing(cluster):
+    job = started(cluster)
+    cluster.beat("vm-1", tenure=2, tick=1)
+    cluster.clock.tick(1.0)
+    cluster.beat("vm-1", tenure=2, tick=2)
+    cluster.scheduler.round()
+    cluster.store()
+    assert (job.active[0].tenure, job.active[0].attempt) == (2, 2)
+    cluster.fleet.reset(token=9)
+    assert cluster.beat("vm-1", tenure=1, tick=9) is None
+    assert (job.active[0].tenure, job.active[0].attempt) == (2, 2)
+
+
+def test_a_late_copy_undoes_no_exit(cluster):
+    job = started(cluster, pieces=2)
+    both = running(job)
+    cluster.beat("vm-1", [(both[0][0], 1, "exited", "done"), both[1]])
+    assert job.n_done == 1
+    assert cluster.beat("vm-1", both, tick=2) is None
+    assert job.n_done == 1 and list(job.active) == [1]
+    # A new leader sees the copy first: what the record calls done stays done, and nothing is started again.
+    cluster.store()
+    cluster.fleet.reset(token=9)
+    assert [o for o in cluster.beat("vm-1", both, tick=2) if o[0] == "launch"] == []
+    assert job.n_done == 1 and list(job.active) == [1]
+
+
+def test_a_late_copy_does_not_bring_back_a_deleted_machine(cluster):
+    cluster.beat("vm-1")
+    cluster.fleet.gone(cluster.fleet.machines["vm-1"], "deleted")
+    assert cluster.beat("vm-1", tick=50) is None
+    assert "vm-1" not in cluster.fleet.machines
