The hint for the next leader is told with every fifth ping, put together once

Its size grows with the fleet (some 50 KB at 540 machines with five images each), and it was put together anew for each peer and each second. Nothing but warm images and rates is in it, for which five seconds do not matter.

--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -30,6 +30,7 @@
 PROMISE_S = 5.0
 VOTE_S = 1.5
 PING_S = 1.0
+HINT_EVERY = 5  # pings
 LONG_HOLD_S = 60.0
 SHORT_HOLD_S = 8.0
 LONELY_S = 3.0  # so long without a majority, a leader gives way to those who may have one
@@ -263,13 +264,13 @@
         if isinstance(answer.get("beats"), int):
             self.peer_beats[peer.name] = (self.clock(), answer["beats"])
 
-    async def _ping(self, peer: Peer) -> None:
+    async def _ping(self, peer: Peer, hint: object = None) -> None:
         leading = self.role in (Role.LEADER, Role.LOADING)
         token = self.token if leading else 0
         sent = self.clock()
         message = {"t": "ping", "n": self.me, "tok": token, "sok": self.store.fresh()}
-        if leading:
-            message["hint"] = self.hint()
+        if leading and hint is not None:
+            message["hint"] = hint
         answer = await peer.call(message, timeout=1.5)
         if answer is None:
             return
@@ -281,10 +282,14 @@
                 self.step_down(f"{peer.name} knows a newer token")
 
     async def ping_loop(self) -> None:
+        turn = 0
         while True:
-            for peer in self.peers:
-                asyncio.get_running_loop().create_task(self._ping(peer))
             leading = self.role in (Role.LEADER, Role.LOADING)
+            # The hint grows with the fleet, so it is told now and then, and put together once for all.
+            hint = self.hint() if leading and turn % HINT_EVERY == 0 else None
+            turn += 1
+            for peer in self.peers:
+                asyncio.get_running_loop().create_task(self._ping(peer, hint))
             if leading and not self.promise.renew(self.me, self.token) and self.mode is Mode.PROMISE:
                 self.step_down("own promise is with another node")
             await asyncio.sleep(PING_S)
