--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -37,7 +37,7 @@
     count: int
     since: float
     zone: int = -1  # where machines are being kept for it
-    declined: float = -1.0  # since when it leaves machines without its image to others
+    declined: float = -1.0  # since when it leaves machines without its image to others, unserved
 
 
 @dataclass(slots=True)
@@ -263,6 +263,10 @@
         w = self.waiting.get(job.ref)
         if w is None:
             w = self.waiting[job.ref] = Waiting(job, left, now)
+        elif placed:
+            # As long as it is served it can go on being choosy. When its patience counted from the
+            # first time, each job of a long queue took whatever came, and three in four tasks fetched.
+            w.declined = -1.0
         w.count = left
         missing = self._preempt(job, p, left, firm, now)
         if spec.gang and missing > 0 and now - w.since > HOLD_AFTER_S:
