Machines that must be gone don't stand ready; a plan asks each pool for one full call

Excluded: the state service, whose changes were at a third of the limit. Machines that lists lack for longer than their lag, or that are listed as running and don't come to a new leader within a lease, no longer count, and the former are deleted as soon as a list must have named them. And a plan was cut at 50 machines in all, where each call may ask for 50.

--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -147,6 +147,7 @@
         self.hires: list[Hire] = []
         self.closed: dict[Pool, tuple[float, float]] = {}  # pool -> (not before, pause)
         self.listed_once = False
+        self.listed_at = -1e9
         self.began_at = -1e9
         # Whether nobody can have led lately, so that there are no hires and reports to wait for.
         self.fresh: Callable[[], bool] = lambda: False
@@ -155,7 +156,7 @@
         """A new leadership: lists and reports tell what there is."""
         self.hires.clear()
         self.closed.clear()
-        self.listed_once = False
+        self.listed_once, self.listed_at = False, -1e9
         self.targets = Targets()
         self.unmeasured = not self.fresh()
         self.rate_solid = self.rate_other = 0.0
@@ -178,9 +179,12 @@
             if fresh:
                 m.rented_at = now - item.age_s
                 m.known_at = now if item.phase != "booting" else m.rented_at
+            m.listed_at = now
+            if item.phase == "running" and m.ran_at < 0:
+                m.ran_at = now
             if item.phase == "failed":
                 m.failed = True
-        self.listed_once = True
+        self.listed_once, self.listed_at = True, now
 
     # -- renting -------------------------------------------------------------------------------
 
@@ -215,6 +219,18 @@
         assert info is not None
         return Room(index, pool[0], pool[1], pool[2], info.cpus, info.gpus, info.memory, self.price(pool))
 
+    def unlisted(self, m: Machine) -> bool:
+        """Whether the lists have lacked the machine for so long that it must be gone.
+
+        A new leader's records name machines that were taken meanwhile. They counted as standing, and as
+        ordinary ones at that, so nothing was rented in their place until they were deleted.
+        """
+        return self.listed_at - m.listed_at > 2.0 * self.params.cloud.list_lag_s + 1.0
+
+    def _expected(self, m: Machine, now: float) -> bool:
+        """Whether a machine that has not reported yet may be counted on."""
+        return m.phase is Phase.BOOTING and not (m.silent or self.overdue(m, now) or self.unlisted(m))
+
     def overdue(self, m: Machine, now: float) -> bool:
         """Whether a booting machine should no longer be counted on."""
         info = self.fleet.info(m.type)
@@ -224,7 +240,7 @@
         """Machines that are on their way."""
         rooms: list[Room] = []
         for m in self.fleet.machines.values():
-            if m.phase is Phase.BOOTING and not self.overdue(m, now) and self.fleet.info(m.type) is not None:
+            if self._expected(m, now) and self.fleet.info(m.type) is not None:
                 rooms.append(self._full_room((m.type, m.zone, m.spot), m.index))
         for h in self.hires:
             rooms.extend(self._full_room(h.pool, -1) for _ in range(h.count))
@@ -256,6 +272,8 @@
                         break
                 else:
                     return
+                if new.get(pool, 0) >= MOST_PER_HIRE:
+                    return  # the rest with the next plan, rather than of a dearer kind
                 if ask.one_zone and ask.zone < 0:
                     ask.zone = pool[1]
                 new[pool] = new.get(pool, 0) + 1
@@ -264,8 +282,6 @@
                 room.memory -= n * ask.memory
                 coming.append(room)
                 left -= n
-                if sum(new.values()) >= MOST_PER_HIRE:
-                    return
 
         for w in needy(self.scheduler.waiting):
             if w.job.spec is not None:
@@ -408,8 +424,10 @@
         late: dict[int, list[bool]] = {}
         after = 1.8 * self.params.workers.report_s
         for m in self.fleet.machines.values():
-            if m.phase in (Phase.UP, Phase.DRAINING, Phase.NOTICED) and m.up_at >= 0:
+            if m.phase in (Phase.UP, Phase.DRAINING, Phase.NOTICED):
                 late.setdefault(m.zone, []).append(now - m.heard_us_at > after)
+            elif m.phase is Phase.BOOTING and m.silent:
+                late.setdefault(m.zone, []).append(True)
         return {z for z, s in late.items() if sum(s) >= 3 and 2 * sum(s) > len(s)}
 
     def firm_floor(self) -> float:
@@ -427,7 +445,7 @@
         """(ordinary, all) machines that stand ready or are on their way."""
         solid = total = 0
         for m in self.fleet.machines.values():
-            if (m.phase is Phase.UP and not m.silent) or (m.phase is Phase.BOOTING and not self.overdue(m, now)):
+            if (m.phase is Phase.UP and not m.silent) or self._expected(m, now):
                 total += 1
                 solid += not m.spot
         for h in self.hires:
@@ -490,6 +508,8 @@
                 continue
             if m.failed:
                 why = "it has failed"
+            elif m.up_at < 0 and self.unlisted(m) and leading > 2.0 * self.params.cloud.list_lag_s + 1.0:
+                why = "it is not listed any more"
             elif m.phase is Phase.BOOTING:
                 if now - m.rented_at > 5.0 * boot and leading > 2 * lease and now - m.known_at > 3 * lease:
                     why = "it never came up"
@@ -524,7 +544,7 @@
         else:
             self.closed.pop(hire.pool, None)
         for name in names:
-            self.fleet.machine(name, type_, zone, hire.pool[2])
+            self.fleet.machine(name, type_, zone, hire.pool[2]).listed_at = self.clock()
 
     def _close(self, pool: Pool) -> None:
         """Refused: ask this pool again only after a pause, which grows."""
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -77,9 +77,11 @@
         "index",
         "known_at",
         "last_beat",
+        "listed_at",
         "name",
         "notice_at",
         "phase",
+        "ran_at",
         "rented_at",
         "room",
         "silent",
@@ -99,6 +101,8 @@
         self.phase = Phase.BOOTING
         self.known_at = self.rented_at = now
         self.up_at = -1.0
+        self.listed_at = -1e9  # when the cloud last named it; never for one that only records name
+        self.ran_at = -1.0  # when it was first listed as running
         self.tenure = 0
         self.tick = -1
         self.token = 0
@@ -498,7 +502,7 @@
         if self.began is None:
             return
         for m in list(self.machines.values()):
-            if not m.silent and m.up_at >= 0 and now - m.heard_us_at > self.params.workers.report_s * 3:
+            if not m.silent and self._quiet(m, now):
                 m.silent, m.hears = True, False
                 log.info("machine %s is silent", m.name)
                 self.wake()
@@ -508,6 +512,13 @@
                 log.info("machine %s: lease is over, %d tasks gone", m.name, len(m.entries))
                 self.drop_all(m, "the lease is over")
 
+    def _quiet(self, m: Machine, now: float) -> bool:
+        """Whether a machine that should be heard is not. One that has not come to a new leader has a lease's time."""
+        assert self.began is not None
+        if m.up_at >= 0:
+            return now - m.heard_us_at > self.params.workers.report_s * 3
+        return m.ran_at >= 0 and now - max(m.ran_at, self.began) > self.lease_gone
+
     def usable(self, m: Machine, now: float) -> bool:
         """Whether new tasks may be placed here."""
         return (
--- a/tests/test_cloud.py
+++ b/tests/test_cloud.py
@@ -212,3 +212,45 @@
     assert names == {"c16": 2, "g4": 1}
     renting.standby(cluster.clock())
     renting.trim(cluster.clock())
+
+
+def test_machines_that_only_records_name_do_not_stand_ready_once_lists_lack_them(cluster, renting):
+    cluster.beat("vm-1")
+    job = cluster.submit(1)
+    cluster.scheduler.round()
+    cluster.store()
+    cluster.fleet.reset(token=9)
+    renting.reset()
+    cluster.fleet.begin(cluster.clock())
+    renting.take_list([], cluster.clock())
+    assert job.active and "vm-1" in cluster.fleet.machines
+    assert renting.standing(cluster.clock()) == (0, 0)
+    # It is deleted only when even the latest list must have named it, and then its task is free.
+    assert renting.to_return(cluster.clock()) == []
+    cluster.clock.tick(12.0)
+    renting.take_list([], cluster.clock())
+    assert [m.name for m in renting.to_return(cluster.clock())] == ["vm-1"]
+
+
+def test_a_new_leader_does_not_count_on_machines_that_never_come_to_it(cluster, renting):
+    listed = [wire.Listed(name=f"vm-{i}", type="g4", zone="west", phase="running") for i in range(4)]
+    cluster.fleet.reset(token=9)
+    renting.reset()
+    cluster.fleet.begin(cluster.clock())
+    renting.take_list(listed, cluster.clock())
+    assert renting.standing(cluster.clock()) == (4, 4)
+    cluster.clock.tick(13.0)
+    renting.take_list(listed, cluster.clock())
+    cluster.fleet.expire(cluster.clock())
+    assert renting.standing(cluster.clock()) == (0, 0)
+    # A whole zone is rather cut off than dead.
+    cluster.clock.tick(60.0)
+    renting.take_list(listed, cluster.clock())
+    assert renting.to_return(cluster.clock()) == []
+
+
+def test_a_plan_asks_each_pool_for_one_full_call_and_spills_into_no_dearer_one(cluster, renting):
+    cluster.submit(1, pieces=4 * 120, loaners=True)
+    cluster.scheduler.round()
+    plan = renting.wanted(cluster.clock())
+    assert {pool[2] for pool in plan} == {True} and sum(plan.values()) == 100
