Machines that a gang waits for are not refilled by arrays that may use cheap ones

Excluded: fetches (10 to 23 s) and the number of machines (all 419 rented by 17 s). As many ordinary machines as waiting gangs need are left to drain, the emptiest first; an array that gets nothing for 30 s takes them all the same.

--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -26,6 +26,7 @@
 STOCK_COST_S = 0.2  # for each GB of images that others would have to fetch again
 DECLINE = 0.35  # of the time of a fetch, a job leaves machines without its image to others
 DECLINE_ARRAY = 0.7
+STARVES_S = 30.0
 SETTLED_S = 30.0  # a start that lasts this long counts for its user
 
 
@@ -36,6 +37,7 @@
     job: Job
     count: int
     since: float
+    served: float = -1.0  # when it last got something, or began to wait
     zone: int = -1  # where machines are being kept for it
     declined: float = -1.0  # since when it leaves machines without its image to others, unserved
 
@@ -68,7 +70,8 @@
     options: dict[tuple, list[Option]] = field(default_factory=dict)
     usage: dict[int, Usage] = field(default_factory=dict)
     held: dict[int, str] = field(default_factory=dict)
-    kept: set[int] = field(default_factory=set)
+    kept: set[int] = field(default_factory=set)  # for whole-machine jobs that may come
+    awaited: set[int] = field(default_factory=set)  # for those that wait
 
 
 class Scheduler:
@@ -231,7 +234,7 @@
         ]  # fmt: skip
         if not spec.gang:
             rooms = self._uncontested(job, rooms, p, now)
-        got = self._choose(job, ask, p, rooms, firm)
+        got = self._choose(job, ask, p, rooms, firm, now)
         if got and self._better_warm(job, ask, p, got, firm, now):
             return
         placed = sum(n for _, n in got)
@@ -262,8 +265,9 @@
             return
         w = self.waiting.get(job.ref)
         if w is None:
-            w = self.waiting[job.ref] = Waiting(job, left, now)
+            w = self.waiting[job.ref] = Waiting(job, left, now, served=now)
         elif placed:
+            w.served = now
             # As long as it is served it can go on being choosy. When its patience counted from the
             # first time, each job of a long queue took whatever came, and three in four tasks fetched.
             w.declined = -1.0
@@ -272,14 +276,25 @@
         if spec.gang and missing > 0 and now - w.since > HOLD_AFTER_S:
             self._reserve(job, ask, p)
 
-    def _choose(self, job: Job, ask: Ask, p: Picture, rooms: list[Room], firm: bool) -> list[tuple[int, int]]:
+    def _choose(
+        self, job: Job, ask: Ask, p: Picture, rooms: list[Room], firm: bool, now: float
+    ) -> list[tuple[int, int]]:
         """HAS over the machines that the job may have; kept ones only if nothing else will do."""
-        if p.kept and job.rank <= self.whole_rank and not self._whole(job):
-            got = place(ask, [r for r in rooms if r.index not in p.kept])
+        if (p.kept or p.awaited) and job.rank <= self.whole_rank and not self._whole(job):
+            if ask.spot and not self._starves(job, now):
+                # Older arrays refilled each GPU of the machines that a gang waited for; they have the
+                # cheap ones and the rest, and gangs have nothing else.
+                rooms = [r for r in rooms if r.index not in p.awaited]
+            got = place(ask, [r for r in rooms if r.index not in p.kept and r.index not in p.awaited])
             if not firm or sum(n for _, n in got) >= ask.count:
                 return got
         return place(ask, rooms)
 
+    def _starves(self, job: Job, now: float) -> bool:
+        """Whether a job has had nothing for so long that it need not leave machines to gangs any more."""
+        w = self.waiting.get(job.ref)
+        return w is not None and now - w.served > STARVES_S
+
     def _better_warm(self, job: Job, ask: Ask, p: Picture, got: list[tuple[int, int]], firm: bool, now: float) -> bool:
         """Whether to wait for a machine that has the image, because making room is faster than a fetch."""
         spec = job.spec
@@ -300,7 +315,7 @@
         if not held and self._preempt(job, p, 1, firm, now, warm_only=True) > 0:
             return False
         if w is None:
-            self.waiting[job.ref] = Waiting(job, 1, now)
+            self.waiting[job.ref] = Waiting(job, 1, now, served=now)
         return True
 
     def _rival_images(self, job: Job, p: Picture) -> set[int]:
@@ -395,7 +410,11 @@
         Small tasks of the same rank fit anywhere and refill each GPU that is freed, so under load no
         ordinary machine ever becomes empty. As many are kept as such jobs' need is likely to vary.
         """
-        if self.mean_whole < 0.5:
+        waits = sum(
+            w.count for w in self.waiting.values()
+            if w.job.rank == self.whole_rank and w.job.phase == OPEN and self._whole(w.job)
+        )  # fmt: skip
+        if self.mean_whole < 0.5 and not waits:
             return
         left = math.ceil(KEEP_Z * math.sqrt(self.mean_whole))
         spare = [
@@ -403,7 +422,8 @@
             if not r.spot and r.index not in p.held and not self._has_whole(r.index)
         ]  # fmt: skip
         spare.sort(key=lambda r: (-r.gpus, -r.cpus, r.index))
-        p.kept = {r.index for r in spare[:left]}
+        p.awaited = {r.index for r in spare[:waits]}
+        p.kept = {r.index for r in spare[waits : waits + left]}
 
     def _has_whole(self, index: int) -> bool:
         return any(self._whole(j) for j, _ in self.fleet.by_index[index].entries.values())
