--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -458,8 +458,14 @@
         fleet, t = self.fleet, self.targets
         solid, total = self.standing(now)
         over_solid, over = solid - t.solid, total - t.total
-        self._undrain(over_solid, over)
-        if any(w.job.spec is not None for w in self.scheduler.waiting.values()):
+        waits = any(w.job.spec is not None for w in self.scheduler.waiting.values())
+        draining = [m for m in fleet.machines.values() if m.phase is Phase.DRAINING]
+        for m in draining:
+            if waits or over_solid < -1e-6 or over < -1e-6:
+                fleet.become(m, Phase.UP, "needed again")
+                over_solid += 1
+                over += 1
+        if waits:
             return
         idle = []
         for m in fleet.machines.values():
@@ -485,38 +491,6 @@
             over -= 1
             fleet.become(m, Phase.DRAINING, "beyond need")
 
-    def _undrain(self, lack_solid: float, lack: float) -> None:
-        """Take back as many machines as are needed again: by number, or by the room that waiting jobs lack.
-
-        All of them came back for each job that waited for a moment, and with hundreds of machines one
-        nearly always does.
-        """
-        fleet = self.fleet
-        draining = [m for m in fleet.machines.values() if m.phase is Phase.DRAINING]
-        if not draining:
-            return
-        cheap = dear = 0.0  # machines' worth of work that waits, by whether it may go to cheap ones
-        for w in self.scheduler.waiting.values():
-            if w.job.spec is not None:
-                n = w.count * self.weight(w.job)
-                cheap, dear = (cheap + n, dear) if w.job.spec.spot else (cheap, dear + n)
-        for m in sorted(draining, key=lambda m: (self.price((m.type, m.zone, m.spot)), -len(m.entries), m.index)):
-            info = self.fleet.info(m.type)
-            if info is None:
-                continue
-            room = fleet.room(m)
-            free = room.gpus / info.gpus if info.gpus else room.cpus / info.cpus
-            useful = free > 0 and (cheap > 0 or (dear > 0 and not m.spot))
-            if not (useful or lack < -1e-6 or (lack_solid < -1e-6 and not m.spot)):
-                continue
-            fleet.become(m, Phase.UP, "needed again")
-            lack += 1
-            lack_solid += not m.spot
-            if dear > 0 and not m.spot:
-                dear -= free
-            else:
-                cheap -= free
-
     # -- returning -----------------------------------------------------------------------------
 
     def to_return(self, now: float) -> list[Machine]:
