--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -525,32 +525,46 @@
                 z = p.rooms[index].zone
                 zone_n[z] = zone_n.get(z, 0) + n
             free = {z: 0 for z in zone_n}
-            for index, room in p.rooms.items():
-                if room.zone in free and index not in p.held:
-                    free[room.zone] += units(ask, room)
+            open_rooms: list[tuple[Room, int]] = []
+            for index, room in p.free.items() if spec.gpus > 0 else p.rooms.items():
+                if room.zone in free and index not in p.held and allowed(ask, room) and (n := units(ask, room)) > 0:
+                    if warm_only and job.image not in room.warm:
+                        continue
+                    free[room.zone] += n
+                    open_rooms.append((room, n))
             good = [z for z, n in zone_n.items() if n + free[z] >= left]
             if not good:
                 return left
             first = next(p.rooms[o[1]].zone for o in options if p.rooms[o[1]].zone in good)
             options = [o for o in options if p.rooms[o[1]].zone == first]
-            left -= min(left, free[first])
+            # What is free already is kept for it as well: smaller work of lower rank took it while the
+            # rest was being freed, and the next round stopped some more for the same gang.
+            for room, n in sorted(open_rooms, key=lambda o: (job.image not in o[0].warm, o[0].index)):
+                if left <= 0:
+                    break
+                if room.zone == first:
+                    self._hold(job, p, room.index)
+                    left -= n
         elif spec.gang and sum(o[2] for o in options) < left:
             return left
         for _, index, n, chosen in options:
             if left <= 0:
                 break
-            m = self.fleet.by_index[index]
             if not self._charge(job, chosen, beyond):
                 continue
             for o, a in chosen:
                 assert o.spec is not None
                 grace = o.spec.save_s + 0.5 if o.spec.checkpoint_s > 0 else 0.0
                 self.fleet.stop(o, a, grace, f"room for {job.ref}")
-            m.held_for = job.ref
-            p.held[index] = job.ref
+            self._hold(job, p, index)
             left -= n
         return left
 
+    def _hold(self, job: Job, p: Picture, index: int) -> None:
+        """Keep a machine for a job that waits, beyond this round."""
+        self.fleet.by_index[index].held_for = job.ref
+        p.held[index] = job.ref
+
     def _any_victims(self, job: Job, firm: bool, beyond: dict[int, Usage]) -> bool:
         """Whether anything may be stopped for the job: mostly not, and a scan of all machines says so late."""
         if self.lowest_rank > job.rank:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -226,3 +226,21 @@
     full.mark_done(1)
     cluster.scheduler.round()
     assert len(first.active) == 1, "but not for ever"
+
+
+def test_what_is_free_already_is_kept_for_a_gang_that_makes_room_for_the_rest(cluster):
+    cluster.beat("vm-1")
+    low = cluster.submit(1, rank="low", pieces=4)
+    cluster.scheduler.round()
+    cluster.store()
+    cluster.beat("vm-2")
+    gang = cluster.submit(2, rank="urgent", shape="ensemble", pieces=2, cards=4.0, samePlace=True)
+    cluster.scheduler.round()
+    assert all(a.stop_grace is not None for a in low.active.values())
+    small = cluster.submit(3, rank="low")
+    cluster.scheduler.round()
+    assert not small.active, "it would take the machine that the gang has already"
+    for a in list(low.active.values()):
+        cluster.fleet.drop(low, a, "halted")
+    cluster.scheduler.round()
+    assert {a.machine for a in gang.active.values()} == {"vm-1", "vm-2"}
