--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -39,7 +39,6 @@
     since: float
     served: float = -1.0  # when it last got something, or began to wait
     zone: int = -1  # where machines are being kept for it
-    reserved: frozenset[int] = frozenset()  # machines that it will get first, as last seen
     declined: float = -1.0  # since when it leaves machines without its image to others, unserved
 
 
@@ -411,18 +410,20 @@
         Small tasks of the same rank fit anywhere and refill each GPU that is freed, so under load no
         ordinary machine ever becomes empty. As many are kept as such jobs' need is likely to vary.
         """
-        for w in self.waiting.values():
-            if w.reserved and w.job.rank == self.whole_rank and w.job.phase == OPEN and self._whole(w.job):
-                p.awaited |= w.reserved
-        if self.mean_whole < 0.5:
+        waits = sum(
+            w.count for w in self.waiting.values()
+            if w.job.rank == self.whole_rank and w.job.phase == OPEN and self._whole(w.job)
+        )  # fmt: skip
+        if self.mean_whole < 0.5 and not waits:
             return
         left = math.ceil(KEEP_Z * math.sqrt(self.mean_whole))
         spare = [
             r for r in p.rooms.values()
-            if not (r.spot or r.index in p.held or r.index in p.awaited or self._has_whole(r.index))
+            if not r.spot and r.index not in p.held and not self._has_whole(r.index)
         ]  # fmt: skip
         spare.sort(key=lambda r: (-r.gpus, -r.cpus, r.index))
-        p.kept = {r.index for r in spare[:left]}
+        p.awaited = {r.index for r in spare[:waits]}
+        p.kept = {r.index for r in spare[waits : waits + left]}
 
     def _has_whole(self, index: int) -> bool:
         return any(self._whole(j) for j, _ in self.fleet.by_index[index].entries.values())
@@ -433,9 +434,7 @@
         Without this, small tasks of later jobs take each GPU that is freed, and a gang that needs
         whole machines never starts.
         """
-        w = self.waiting.get(job.ref)
-        mine = {i for i, ref in p.held.items() if ref == job.ref}
-        left = ask.count - len(mine)
+        left = ask.count
         fit = [
             r for i, r in p.rooms.items()
             if i not in p.held and allowed(ask, r)
@@ -444,6 +443,7 @@
             by_zone: dict[int, list[Room]] = {}
             for r in fit:
                 by_zone.setdefault(r.zone, []).append(r)
+            w = self.waiting.get(job.ref)
             if w is not None and len(by_zone.get(w.zone, ())) >= left:
                 # Once chosen, a zone stays: when it followed each freed GPU, no zone ever had enough.
                 fit = by_zone[w.zone]
@@ -454,12 +454,9 @@
         fit.sort(key=lambda r: (-r.gpus, -r.cpus, r.index))
         for r in fit:
             if left <= 0:
-                break
+                return
             p.held[r.index] = job.ref
-            mine.add(r.index)
             left -= max(1, units(ask, r))
-        if w is not None:
-            w.reserved = frozenset(mine)
 
     # -- making room ---------------------------------------------------------------------------
 
