A gang reserves no more than it lacks

Cause (reading _reserve): machines that are kept for a gang already were not subtracted, so a gang of 4 with 3 kept machines reserved 4 more.

--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -434,7 +434,7 @@
         Without this, small tasks of later jobs take each GPU that is freed, and a gang that needs
         whole machines never starts.
         """
-        left = ask.count
+        left = ask.count - sum(ref == job.ref for ref in p.held.values())
         fit = [
             r for i, r in p.rooms.items()
             if i not in p.held and allowed(ask, r)
