--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -151,6 +151,8 @@
         self.began_at = -1e9
         # Whether nobody can have led lately, so that there are no hires and reports to wait for.
         self.fresh: Callable[[], bool] = lambda: False
+        # Whether nothing can be accepted or stored now, so that need seems to fall and will come back.
+        self.stuck: Callable[[], bool] = lambda: False
 
     def reset(self) -> None:
         """A new leadership: lists and reports tell what there is."""
@@ -382,6 +384,10 @@
         t.solid = solid + margin(self.rate_solid, SOLID_Z)
         t.total = solid + other + margin(self.rate_solid + self.rate_other, FIRM_Z if floor else TOTAL_Z)
         t.total = max(t.total, t.solid, floor)
+        if self.stuck():
+            # Users try again until they are heard. In an outage of 25 s need fell by a fifth, cheap
+            # machines that were taken meanwhile were not replaced, and a queue met too few of them.
+            t = Targets(max(t.solid, self.targets.solid), max(t.total, self.targets.total))
         self.targets = t
 
     def _log_need(self, now: float) -> None:
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -46,6 +46,7 @@
         self.client = CloudClient(settings.external.cloud, params.cloud.rps, clock)
         self.renting = Renting(params, self.fleet, self.scheduler, self.client, clock)
         self.renting.fresh = lambda: self.leadership.first and self.no_catalog
+        self.renting.stuck = lambda: not self.store.healthy()
         self.renting.on_catalog = self._catalog
         self.leadership = Leadership(
             settings.node_name, params.size, [Peer(s) for s in settings.seeds], self.store, clock,
--- a/tests/test_cloud.py
+++ b/tests/test_cloud.py
@@ -254,3 +254,20 @@
     cluster.scheduler.round()
     plan = renting.wanted(cluster.clock())
     assert {pool[2] for pool in plan} == {True} and sum(plan.values()) == 100
+
+
+def test_need_that_falls_since_nothing_can_be_stored_is_not_believed(cluster, renting):
+    job = cluster.submit(1, shape="ensemble", cards=4.0, pieces=3)
+    cluster.scheduler.round()
+    renting.measure(cluster.clock())
+    before = renting.targets
+    assert before.solid >= 3.0
+    job.phase = "done"
+    renting.stuck = lambda: True
+    cluster.clock.tick(10.0)
+    cluster.scheduler.round()
+    renting.measure(cluster.clock())
+    assert renting.targets == before
+    renting.stuck = lambda: False
+    renting.measure(cluster.clock())
+    assert renting.targets.solid < 3.0
