Keepers send workers on to a leader in hold mode that they can't hear; refusals end no keeping

Now a kept worker that had not met a leader in hold mode is sent there once its lease is fresh, and comes back if nobody answers; keepers in a cut zone (promise mode) go on as before. A refused write was not executed, so what is stored stands. Tests for each.

--- a/hookwall/keeper.py
+++ b/hookwall/keeper.py
@@ -16,7 +16,7 @@
 from hookwall import store as st
 from hookwall import wire
 from hookwall.jobs import WITHDRAWN, JobTable
-from hookwall.leadership import DRIFT, SLACK_S, Leadership, Role
+from hookwall.leadership import DRIFT, SLACK_S, Leadership, Mode, Role
 from hookwall.store import Conflict, Refused, Store, Unknown
 from hookwall.wire import Beat, Order
 
@@ -25,6 +25,7 @@
 HOLD_S = 6.0
 RENEW_S = 1.5
 UNHEARD_S = 3.0  # so long without a word from the leader, its workers are kept
+SEND_EVERY_S = 20.0  # how often a kept worker may be sent to a leader that it has not met
 MOST_S = 60.0  # and no longer than this, lest a worker stay with a node that can't use it
 
 
@@ -41,6 +42,10 @@
         self.kept: set[str] = set()
         self.wanted: set[str] = set()
         self.since: dict[str, float] = {}
+        self.unmet: dict[str, int] = {}  # token with which each first came: our answers bring it the leader's
+        self.sent: dict[str, float] = {}  # when each was sent to the leader
+        self.away: set[str] = set()  # those sent since the last write began
+        self.shrunk = False  # whether the stored key names machines that are kept no more
         self.lock = asyncio.Lock()
 
     def may(self, b: Beat) -> bool:
@@ -64,11 +69,30 @@
         """Whether an answer to this machine is covered by what is stored."""
         return machine in self.kept and self.token == self.lead.key_stamp and self.clock() < self.until
 
+    def sends(self, b: Beat) -> str | None:
+        """The leader to whom a worker with a fresh lease goes now, or None.
+
+        Where only the connections between nodes are refused, a leader in hold mode can't be heard by
+        this node, but workers reach it. Those that came here before it led stayed for as long as the
+        filter did, and the leader had 85 machines of 419. One that finds no leader there comes back.
+        """
+        lead, now = self.lead, self.clock()
+        if lead.key_mode is not Mode.HOLD or not self.valid(b.machine):
+            return None
+        if self.unmet[b.machine] >= lead.key_stamp or now - self.sent.get(b.machine, -1e9) < SEND_EVERY_S:
+            return None
+        self.sent[b.machine] = now
+        self.kept.discard(b.machine)
+        self.away.add(b.machine)
+        self.shrunk = True
+        return lead.key_node
+
     async def keep(self, b: Beat) -> list[Order] | None:
         """The answer's commands, or None if the worker can't be kept."""
         if not self.may(b):
             return None
         self.since.setdefault(b.machine, self.clock())
+        self.unmet.setdefault(b.machine, b.token)
         if not self.valid(b.machine):
             self.wanted.add(b.machine)
             await self._write()
@@ -82,12 +106,14 @@
                 orders.append(wire.stop(t.piece, t.attempt, 0.0))
         return orders
 
-    async def _write(self) -> None:
+    async def _write(self, shrink: bool = False) -> None:
         """Store which machines are kept, under the leader's stamp."""
         async with self.lock:
-            if self.wanted <= self.kept and self.token == self.lead.key_stamp and self.clock() < self.until:
+            current = self.token == self.lead.key_stamp and self.clock() < self.until
+            if self.wanted <= self.kept and current and not shrink:
                 return
             token = self.lead.key_stamp
+            self.away.clear()
             names = sorted(self.wanted | (self.kept if token == self.token else set()))
             try:
                 if self.stamp is None:
@@ -97,7 +123,12 @@
                 hold = await self.store.hold(HOLD_S)
                 value = {"token": token, "machines": names}
                 stamp = await self.store.commit([(st.LEADER, token), (self.key, self.stamp)], [(self.key, value)], hold)
-            except (Conflict, Refused, Unknown) as e:
+            except Refused as e:
+                # Not executed, so what is stored is as it was. A fleet that came all at once used up this
+                # node's changes, and each refusal ended the keeping of those that had been stored.
+                log.debug("could not keep %d machines: %s", len(names), e)
+                return
+            except (Conflict, Unknown) as e:
                 log.debug("could not keep %d machines: %s", len(names), type(e).__name__)
                 # The write may still happen and tie the key to a hold that nobody renews, so what
                 # was kept before can't be relied on either. The leader's view errs on the safe side.
@@ -107,7 +138,9 @@
                 log.info("keeps the leases of workers that lost %s", self.lead.key_node)
             self.token, self.stamp, self.hold = token, stamp, hold
             self.until = sent + HOLD_S * (1 - DRIFT) - SLACK_S
-            self.kept = set(names)
+            # Who was sent away while this was written stays away.
+            self.kept = set(names) - self.away
+            self.shrunk = bool(self.away)
             # Not all of them: a name that was added while this write was under way still waits for its own.
             self.wanted -= self.kept
 
@@ -117,6 +150,9 @@
         self.kept = set()
         self.wanted.clear()
         self.since.clear()
+        self.unmet.clear()
+        self.sent.clear()
+        self.shrunk = False
         self.until, self.stamp = -1e9, None
         log.info("keeps no leases any more: %s", why)
         if hold is not None:
@@ -130,6 +166,8 @@
         while True:
             await asyncio.sleep(RENEW_S)
             if not self.kept:
+                if self.shrunk:
+                    await self._stop("all have gone to the leader")
                 continue
             lead, now = self.lead, self.clock()
             heard = now - lead.leader_heard < UNHEARD_S
@@ -139,6 +177,9 @@
             if heard or now >= self.until:
                 await self._stop("the leader is heard" if heard else "the hold was not renewed in time")
                 continue
+            if self.shrunk:
+                await self._write(shrink=True)
+                continue
             hold = self.hold
             try:
                 alive = hold is not None and await self.store.extend(hold)
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -281,10 +281,12 @@
         if not lead.valid():
             if lead.role is Role.LEADER or lead.role is Role.LOADING:
                 return 503, b"{}"
-            orders = await self.keeper.keep(b)
-            if orders is not None:
-                return 200, msgspec.json.encode(wire.BeatAnswer(self.keeper.token, orders))
-            name = lead.leader_name()
+            name = self.keeper.sends(b)
+            if name is None:
+                orders = await self.keeper.keep(b)
+                if orders is not None:
+                    return 200, msgspec.json.encode(wire.BeatAnswer(self.keeper.token, orders))
+                name = lead.leader_name()
             return 421, msgspec.json.encode({"overseer": name} if name and name != lead.me else {})
         self.fleet.begin(self.clock())
         orders = self.fleet.report(b)
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -132,3 +132,39 @@
     """The leader sat in the zone that was cut off, and was replaced from outside it."""
     assert asyncio.run(follower.keep(beat(token=3))) == []
     assert follower.token == 7
+
+
+def test_workers_are_sent_to_a_leader_that_only_this_node_cannot_hear(follower, state, clock):
+    state.epoch = 9
+    state.keys[st.LEADER] = ({"node": "n0", "mode": "hold"}, 9)
+    follower.lead.saw_key(*state.keys[st.LEADER])
+    # First its lease is renewed, so that it has the time to try.
+    assert follower.sends(beat()) is None
+    assert asyncio.run(follower.keep(beat())) == []
+    assert asyncio.run(follower.keep(beat(machine="vm-2"))) == []
+    # It carries the leader's token now, from this node's answer.
+    assert follower.sends(beat(token=9)) == "n0"
+    assert not follower.valid("vm-1") and follower.valid("vm-2")
+    asyncio.run(follower._write(shrink=True))
+    assert state.keys[st.KEEP + "n1"][0]["machines"] == ["vm-2"]
+    # It finds nobody there, comes back, and is not sent away again at once.
+    assert follower.sends(beat(token=9)) is None
+    assert asyncio.run(follower.keep(beat(token=9))) == []
+    assert follower.sends(beat(token=9)) is None
+    clock.tick(1.0)
+    # One that has met this leader and lost it is cut off from it.
+    assert asyncio.run(follower.keep(beat(token=9, machine="vm-3"))) == []
+    assert follower.sends(beat(token=9, machine="vm-3")) is None
+
+
+def test_a_worker_that_lost_a_leader_with_promises_stays(follower):
+    assert asyncio.run(follower.keep(beat(token=5))) == []
+    assert follower.sends(beat(token=5)) is None
+
+
+def test_a_refused_write_leaves_those_kept_that_are_stored(follower, state):
+    assert asyncio.run(follower.keep(beat())) == []
+    state.mode = "down"
+    follower.wanted.add("vm-2")
+    asyncio.run(follower._write())
+    assert follower.valid("vm-1") and not follower.valid("vm-2")
