An array that starves really takes what gangs await; tests of the added rules

Cause (a test that was owed): after 30 s without anything an array was allowed the machines that drain for gangs, but the next line left them out again, so that it could have waited as long as gangs did. Tests: a leader without state service and peers sends workers away and renews nothing, late copies are no renewals, what drains for gangs goes to gangs.

--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -285,7 +285,7 @@
                 # Older arrays refilled each GPU of the machines that a gang waited for; they have the
                 # cheap ones and the rest, and gangs have nothing else.
                 rooms = [r for r in rooms if r.index not in p.awaited]
-            got = place(ask, [r for r in rooms if r.index not in p.kept and r.index not in p.awaited])
+            got = place(ask, [r for r in rooms if r.index not in p.kept])
             if not firm or sum(n for _, n in got) >= ask.count:
                 return got
         return place(ask, rooms)
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,59 @@
+"""The slices put together: what a worker is told by a node that may not command."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from hookwall.leadership import PROMISE_S, Mode, Role
+from hookwall.node import Node
+from hookwall.settings import External, Seed, Settings
+
+
+@pytest.fixture
+def node(params, clock):
+    seeds = [Seed(f"n{i}", f"127.0.0.1:{7000 + i}") for i in (1, 2)]
+    n = Node(Settings("n0", "127.0.0.1:7100", "127.0.0.1:7200", External("127.0.0.1:1", "127.0.0.1:2"), params, seeds))
+    n.clock = n.leadership.clock = n.leadership.promise.clock = n.fleet.clock = n.keeper.clock = clock
+    return n
+
+
+def report(tick=1, token=0):
+    return msgspec.json.encode(
+        {"host": "vm-1", "hull": "g4", "yard": "east", "tenure": 1, "tick": tick, "mandate": token, "pieces": []}
+    )
+
+
+def leads(node, clock, token=5):
+    lead = node.leadership
+    lead.role, lead.mode, lead.token, lead.hold_until = Role.LEADER, Mode.PROMISE, token, clock() + 60.0
+    lead.acks = {"n1": clock()}
+    node.fleet.reset(token)
+
+
+def test_a_leader_that_lost_state_service_and_peers_sends_its_workers_away(node, clock):
+    leads(node, clock)
+    status, body = asyncio.run(node.beat(report(1)))
+    assert status == 200 and msgspec.json.decode(body)["mandate"] == 5
+    # Nothing but workers reaches it: no promise and no hold is renewed.
+    clock.tick(PROMISE_S)
+    status, body = asyncio.run(node.beat(report(2, token=5)))
+    assert (status, body) == (503, b"{}")
+    # What it refused counts as no answer: whoever counts this worker's lease counts from the first.
+    assert node.fleet.machines["vm-1"].answered == clock() - PROMISE_S
+
+
+def test_a_late_copy_is_not_answered_as_a_renewal(node, clock):
+    leads(node, clock)
+    assert asyncio.run(node.beat(report(3, token=5)))[0] == 200
+    clock.tick(2.0)
+    assert asyncio.run(node.beat(report(2, token=5)))[0] == 503
+    assert node.fleet.machines["vm-1"].answered == clock() - 2.0
+
+
+def test_a_follower_names_the_leader_it_supports(node):
+    assert node.leadership.promise.renew("n1", 7) is False, "just started, it may have promised otherwise"
+    node.leadership.saw_key({"node": "n1"}, 7)
+    assert node.leadership.promise.renew("n1", 7)
+    status, body = asyncio.run(node.beat(report(1)))
+    assert status == 421 and msgspec.json.decode(body) == {"overseer": "n1"}
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -244,3 +244,39 @@
         cluster.fleet.drop(low, a, "halted")
     cluster.scheduler.round()
     assert {a.machine for a in gang.active.values()} == {"vm-1", "vm-2"}
+
+
+def test_arrays_leave_the_emptiest_machines_to_a_gang_that_waits(cluster):
+    """Older arrays refilled each GPU that was freed, and gangs of whole machines waited for minutes."""
+    up(cluster, "vm-1", "vm-2")
+    old = cluster.submit(1, pieces=20, loaners=True)
+    cluster.scheduler.round()
+    cluster.store()
+    gang = cluster.submit(2, shape="ensemble", cards=4.0)
+    cluster.scheduler.round()
+    for a in [a for a in old.active.values() if a.machine == "vm-1"]:
+        cluster.clock.tick(1.0)
+        old.mark_done(a.task)
+        cluster.fleet.drop(old, a, "done")
+        up(cluster, "vm-1", "vm-2")
+        cluster.scheduler.round()
+    assert gang.active[0].machine == "vm-1"
+
+
+def test_an_array_that_gets_nothing_for_long_takes_what_gangs_await(cluster):
+    up(cluster, "vm-1")
+    old = cluster.submit(1, pieces=20, loaners=True)
+    cluster.scheduler.round()
+    cluster.store()
+    gang = cluster.submit(2, shape="ensemble", pieces=2, cards=4.0)
+    cluster.scheduler.round()
+    first = next(iter(old.active.values()))
+    old.mark_done(first.task)
+    cluster.fleet.drop(old, first, "done")
+    cluster.scheduler.round()
+    assert len(old.active) == 3 and not gang.active
+    for _ in range(20):
+        cluster.clock.tick(2.0)
+        up(cluster, "vm-1")
+        cluster.scheduler.round()
+    assert len(old.active) == 4, "the gang lacks a second machine, and the array starved"
