--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -26,7 +26,7 @@
 STOCK_COST_S = 0.2  # for each GB of images that others would have to fetch again
 DECLINE = 0.35  # of the time of a fetch, a job leaves machines without its image to others
 DECLINE_ARRAY = 0.7
-STARVES_S = 30.0
+STARVES_S = 60.0
 SETTLED_S = 30.0  # a start that lasts this long counts for its user
 
 
