--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -26,7 +26,7 @@
 STOCK_COST_S = 0.2  # for each GB of images that others would have to fetch again
 DECLINE = 0.35  # of the time of a fetch, a job leaves machines without its image to others
 DECLINE_ARRAY = 0.7
-STARVES_S = 30.0
+STARVES_S = 60.0
 SETTLED_S = 30.0  # a start that lasts this long counts for its user
 
 
@@ -285,7 +285,7 @@
                 # Older arrays refilled each GPU of the machines that a gang waited for; they have the
                 # cheap ones and the rest, and gangs have nothing else.
                 rooms = [r for r in rooms if r.index not in p.awaited]
-            got = place(ask, [r for r in rooms if r.index not in p.kept and r.index not in p.awaited])
+            got = place(ask, [r for r in rooms if r.index not in p.kept])
             if not firm or sum(n for _, n in got) >= ask.count:
                 return got
         return place(ask, rooms)
