One place each for the tightest machine, the age of lists and rooms with a GPU; a twin of a field out

Found on reading the change again, decisions as before: Machine.last_beat was set together with answered and is gone; the writer keeps what it may have to restore in its batch, not in a second list; _fit answers at once where one machine holds all.

--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -148,6 +148,7 @@
         self.closed: dict[Pool, tuple[float, float]] = {}  # pool -> (not before, pause)
         self.listed_once = False
         self.listed_at = -1e9
+        self.list_late_s = 2.0 * params.cloud.list_lag_s + 1.0  # no list is older than this
         self.began_at = -1e9
         # Whether nobody can have led lately, so that there are no hires and reports to wait for.
         self.fresh: Callable[[], bool] = lambda: False
@@ -227,7 +228,7 @@
         A new leader's records name machines that were taken meanwhile. They counted as standing, and as
         ordinary ones at that, so nothing was rented in their place until they were deleted.
         """
-        return self.listed_at - m.listed_at > 2.0 * self.params.cloud.list_lag_s + 1.0
+        return self.listed_at - m.listed_at > self.list_late_s
 
     def _expected(self, m: Machine, now: float) -> bool:
         """Whether a machine that has not reported yet may be counted on."""
@@ -520,7 +521,7 @@
                 continue
             if m.failed:
                 why = "it has failed"
-            elif m.up_at < 0 and self.unlisted(m) and leading > 2.0 * self.params.cloud.list_lag_s + 1.0:
+            elif m.up_at < 0 and self.unlisted(m) and leading > self.list_late_s:
                 why = "it is not listed any more"
             elif m.phase is Phase.BOOTING:
                 if now - m.rented_at > 5.0 * boot and leading > 2 * lease and now - m.known_at > 3 * lease:
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -76,7 +76,6 @@
         "images",
         "index",
         "known_at",
-        "last_beat",
         "listed_at",
         "name",
         "notice_at",
@@ -106,7 +105,6 @@
         self.tenure = 0
         self.tick = -1
         self.token = 0
-        self.last_beat = -1e9
         self.answered = -1e9  # when a report was last answered by this leader
         self.entries: dict[tuple[str, int], tuple[Job, Active]] = {}
         self.strays: set[tuple[str, int]] = set()
@@ -335,7 +333,7 @@
                 if a.tenure < b.tenure:
                     self.drop(job, a, "a later tenure")
         m.tenure, m.tick, m.token = b.tenure, b.tick, max(m.token, b.token)
-        m.last_beat = m.answered = now
+        m.answered = now
         if b.notice_s is not None and m.notice_at is None:
             m.notice_at = now + b.notice_s
             if m.phase in (Phase.UP, Phase.SICK, Phase.DRAINING):
@@ -369,8 +367,9 @@
             if m.hears:
                 log.info("machine %s reports, but seems not to get our answers", m.name)
             m.hears = False
-            m.heard_us_at = max(m.heard_us_at, now if m.tenure == 0 else -1e9)
-        elif now - m.last_beat < UNANSWERED_S:
+            if m.tenure == 0:
+                m.heard_us_at = now  # the first report of all: it has had no chance yet
+        elif now - m.answered < UNANSWERED_S:
             m.heard_us_at = now
             if m.silent:
                 log.info("machine %s reports again", m.name)
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -185,8 +185,7 @@
 
     async def _write(self, jobs: list[Job]) -> None:
         token = self.leadership.token
-        batch: list[tuple[Job, dict, dict[int, tuple[str, int]], str, int]] = []
-        again: list[tuple[bool, float]] = []
+        batch: list[tuple[Job, dict, dict[int, tuple[str, int]], str, int, bool, float]] = []
         size = 200
         for job in jobs[: self.store.batch()]:
             record = job.record()
@@ -195,8 +194,7 @@
                 break
             size += n
             on = {a.task: (a.machine, a.attempt) for a in job.active.values()}
-            batch.append((job, record, on, job.phase, job.n_done))
-            again.append((job.fresh, job.dirty_at))
+            batch.append((job, record, on, job.phase, job.n_done, job.fresh, job.dirty_at))
             job.dirty, job.fresh, job.dirty_at, job.writing = False, False, -1.0, True
         keepers = self.fleet.kept.conditions(self.keep_keys)
         when = [(st.LEADER, token), *keepers, *((st.JOBS + j.ref, j.stamp) for j, *_ in batch)]
@@ -210,7 +208,7 @@
         except (Refused, Unknown) as e:
             log.debug("write of %d jobs: %s", len(batch), e)
         same = self.leadership.token == token and self.leadership.role is Role.LEADER
-        for (job, raw, on, phase, done), (fresh, since) in zip(batch, again, strict=True):
+        for job, raw, on, phase, done, fresh, since in batch:
             job.writing = False
             if not same:
                 continue
--- a/hookwall/placement.py
+++ b/hookwall/placement.py
@@ -98,24 +98,22 @@
     if ask.spread:
         return _fit_spread(ask, pool, whole)
     left = ask.count
+    if max(n for _, n in pool) >= left:
+        return [(_tightest(ask, pool, left).index, left)]
+    # Sorted once: how much a machine can give does not change while others give.
+    pool.sort(key=lambda p: _most(ask, *p))
     result: list[tuple[int, int]] = []
-    if max(n for _, n in pool) < left:
-        # Sorted once: how much a machine can give does not change while others give.
-        pool.sort(key=lambda p: _most(ask, *p))
     for at, (room, n) in enumerate(pool):
-        if n >= left or not at:
-            fitting = [r for r, k in pool[at:] if k >= left]
-            if fitting:
-                result.append((min(fitting, key=lambda r: _tightest(ask, r)).index, left))
-                return result
+        if n >= left:
+            return [*result, (_tightest(ask, pool[at:], left).index, left)]
         result.append((room.index, n))
         left -= n
     return [] if whole and left > 0 else result
 
 
-def _tightest(ask: Ask, room: Room) -> tuple[object, ...]:
-    """Best fit: fewest idle GPUs first."""
-    return (idle(ask, room), *_tie(ask, room))
+def _tightest(ask: Ask, pool: Sequence[tuple[Room, int]], left: int) -> Room:
+    """Best fit: of the machines that hold all that is left, the one with fewest idle GPUs."""
+    return min((r for r, n in pool if n >= left), key=lambda r: (idle(ask, r), *_tie(ask, r)))
 
 
 def _most(ask: Ask, room: Room, n: int) -> tuple[object, ...]:
@@ -132,9 +130,8 @@
         able = [(r, k) for r, n in pool if (k := min(n, room_left.get(r.zone, top))) > 0]
         if not able:
             break
-        fitting = [r for r, k in able if k >= left]
-        if fitting:
-            room, take = min(fitting, key=lambda r: _tightest(ask, r)), left
+        if max(k for _, k in able) >= left:
+            room, take = _tightest(ask, able, left), left
         else:
             room, take = min(able, key=lambda p: _most(ask, *p))
         pool = [(r, n) for r, n in pool if r is not room]
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -73,6 +73,10 @@
     kept: set[int] = field(default_factory=set)  # for whole-machine jobs that may come
     awaited: set[int] = field(default_factory=set)  # for those that wait
 
+    def may_fit(self, gpus: float) -> dict[int, Room]:
+        """Under load few machines have a GPU left, and only those matter to a task that needs one."""
+        return self.free if gpus > 0 else self.rooms
+
 
 class Scheduler:
     """The leader's decisions about tasks. It changes jobs and fleet in memory; the writer stores."""
@@ -226,9 +230,8 @@
             return
         count = min(count, allowed)
         ask = self.ask(job, count)
-        # Under load few machines have a GPU left, and only those matter to a task that needs one.
         rooms = [
-            r for i, r in (p.free if spec.gpus > 0 else p.rooms).items()
+            r for i, r in p.may_fit(spec.gpus).items()
             if p.held.get(i, job.ref) == job.ref
             and not (job.errors and job.errors.get(self.fleet.by_index[i].name, 0) >= 2)
         ]  # fmt: skip
@@ -526,7 +529,7 @@
                 zone_n[z] = zone_n.get(z, 0) + n
             free = {z: 0 for z in zone_n}
             open_rooms: list[tuple[Room, int]] = []
-            for index, room in p.free.items() if spec.gpus > 0 else p.rooms.items():
+            for index, room in p.may_fit(spec.gpus).items():
                 if room.zone in free and index not in p.held and allowed(ask, room) and (n := units(ask, room)) > 0:
                     if warm_only and job.image not in room.warm:
                         continue
@@ -576,8 +579,8 @@
     ) -> list[Option]:
         """Where room could be made for tasks of this size; found once a round for all jobs that ask alike."""
         key = (
-            job.rank, firm, job.team if firm else -1, ask.gang and ask.count, min(ask.count, 8), ask.cpus, ask.gpus,
-            ask.memory, ask.types, ask.zone, ask.spot,
+            job.rank, firm, job.team if firm else -1, ask.gang, ask.count if ask.gang else min(ask.count, 8),
+            ask.cpus, ask.gpus, ask.memory, ask.types, ask.zone, ask.spot,
         )  # fmt: skip
         found = p.options.get(key)
         if found is not None:
