Tests: a node gets its clock at birth, so a test no longer depends on the machine's uptime

The test of what a just-started follower promises set the fake clock after the node had read the real one: on a machine that had been up for less than 1,000 s it failed. Node takes its clock as an argument now.

--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -31,10 +32,9 @@
 class Node:
     """All slices of one process."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, clock: Callable[[], float] = time.monotonic) -> None:
         self.settings = settings
         params = settings.settings
-        clock = time.monotonic
         self.clock = clock
         self.store = Store(settings.external.state, params.state, params.size, clock)
         self.table = JobTable(clock)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,9 +13,10 @@
 @pytest.fixture
 def node(params, clock):
     seeds = [Seed(f"n{i}", f"127.0.0.1:{7000 + i}") for i in (1, 2)]
-    n = Node(Settings("n0", "127.0.0.1:7100", "127.0.0.1:7200", External("127.0.0.1:1", "127.0.0.1:2"), params, seeds))
-    n.clock = n.leadership.clock = n.leadership.promise.clock = n.fleet.clock = n.keeper.clock = clock
-    return n
+    # The clock from the start: set afterwards, the machine's own uptime decided whether a node had just started,
+    # and a test of that failed on machines that were up for less than the fake clock's first 1,000 s.
+    services = External("127.0.0.1:1", "127.0.0.1:2")
+    return Node(Settings("n0", "127.0.0.1:7100", "127.0.0.1:7200", services, params, seeds), clock)
 
 
 def report(tick=1, token=0):
