--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -119,6 +119,7 @@
 
     solid: float = 0.0
     total: float = 0.0
+    floor: float = 0.0  # what guarantees want to stand ready, whatever else is short
 
 
 @dataclass(slots=True)
@@ -301,6 +302,7 @@
         """What to rent ahead of need, once nothing that waits needs anything."""
         t = self.targets
         have_solid, have = self.standing(now)
+        total = self._total(have_solid)
         out: dict[Pool, int] = {}
         pools = self.pools(now)
         cheapest: dict[int, float] = {}
@@ -312,13 +314,14 @@
                     continue
                 if not solid_only and self.price(pool) > DEAR * cheapest[pool[0]]:
                     continue
-                lack = (t.solid - have_solid) if solid_only else (t.total - have)
+                lack = (t.solid - have_solid) if solid_only else (total - have)
                 n = min(int(lack + 1e-9), MOST_PER_HIRE)
                 if n > 0:
                     out[pool] = out.get(pool, 0) + n
                     have += n
                     if not pool[2]:
                         have_solid += n
+                        total = self._total(have_solid)
         return out
 
     # -- how much is enough ----------------------------------------------------------------------
@@ -387,14 +390,14 @@
             return z * math.sqrt(2.0 * rate * horizon)
 
         floor = self.firm_floor()
-        t = Targets()
+        t = Targets(floor=floor)
         t.solid = solid + margin(self.rate_solid, SOLID_Z)
         t.total = solid + other + margin(self.rate_solid + self.rate_other, FIRM_Z if floor else TOTAL_Z)
         t.total = max(t.total, t.solid, floor)
         if self.stuck():
             # Users try again until they are heard. In an outage of 25 s need fell by a fifth, cheap
             # machines that were taken meanwhile were not replaced, and a queue met too few of them.
-            t = Targets(max(t.solid, self.targets.solid), max(t.total, self.targets.total))
+            t = Targets(max(t.solid, self.targets.solid), max(t.total, self.targets.total), floor)
         self.targets = t
 
     def _log_need(self, now: float) -> None:
@@ -466,23 +469,33 @@
             solid += 0 if h.pool[2] else h.count
         return solid, total
 
+    def _total(self, solid: int) -> float:
+        """How many machines should stand ready, with `solid` ordinary ones.
+
+        Ordinary machines that can't be had are not made up for by cheap ones, which the work that
+        lacks them can't use: in a queue of urgent gangs half of 315 cheap machines stood idle for it.
+        """
+        t = self.targets
+        return max(t.floor, t.total - max(0.0, t.solid - solid))
+
     def trim(self, now: float) -> None:
         """Let go of what is beyond need: ordinary machines that hold only work for cheap ones first."""
         fleet, t = self.fleet, self.targets
         solid, total = self.standing(now)
-        over_solid, over = solid - t.solid, total - t.total
-        waits = any(w.job.spec is not None for w in self.scheduler.waiting.values())
+        over_solid, over = solid - t.solid, total - self._total(solid)
+        waits = [w.job.spec for w in self.scheduler.waiting.values() if w.job.spec is not None]
+        wait_cheap = any(spec.spot for spec in waits)
         draining = [m for m in fleet.machines.values() if m.phase is Phase.DRAINING]
         for m in draining:
-            if waits or over_solid < -1e-6 or over < -1e-6:
+            if wait_cheap or (waits and not m.spot) or (over_solid < -1e-6 and not m.spot) or over < -1e-6:
                 fleet.become(m, Phase.UP, "needed again")
-                over_solid += 1
+                over_solid += not m.spot
                 over += 1
-        if waits:
+        if wait_cheap:
             return
         idle = []
         for m in fleet.machines.values():
-            if m.phase is not Phase.UP or m.held_for or m.strays or m.silent:
+            if m.phase is not Phase.UP or m.held_for or m.strays or m.silent or (waits and not m.spot):
                 continue
             if m.entries and len(fleet.type_info) > 1:
                 continue  # with several types, need in all says little about the need of this one
--- a/tests/test_cloud.py
+++ b/tests/test_cloud.py
@@ -115,6 +115,28 @@
     assert job.active
 
 
+def test_cheap_machines_do_not_stand_idle_for_work_that_can_not_use_them(cluster, renting):
+    # In a queue of urgent gangs, need in all was what they lacked too, and half of the cheap machines idled.
+    for n in range(1, 4):
+        cluster.beat(f"vm-{n}", spot=True)
+    cluster.clock.tick(100.0)
+    for n in range(1, 4):
+        cluster.beat(f"vm-{n}", spot=True)
+    cluster.submit(1, shape="ensemble", cards=4.0, pieces=4)
+    cluster.scheduler.round()
+    for zone in (0, 1):
+        renting._close((0, zone, False))
+    renting.measure(cluster.clock())
+    assert renting.standby(cluster.clock()) == {}, "and none is rented for it"
+    renting.trim(cluster.clock())
+    assert {m.phase for m in cluster.fleet.machines.values()} == {Phase.DRAINING}
+    # As soon as work waits that may use them, they are.
+    cluster.submit(2, pieces=40, loaners=True)
+    cluster.scheduler.round()
+    renting.trim(cluster.clock())
+    assert {m.phase for m in cluster.fleet.machines.values()} == {Phase.UP}
+
+
 def test_a_margin_stands_ready_while_jobs_arrive_and_goes_when_they_stop(cluster, renting):
     renting.unmeasured = False
     for n in range(1, 5):
