--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -139,6 +139,10 @@
         self.peer_beats: dict[str, tuple[float, int]] = {}
         self.beats_seen = 0  # reports that reached this node lately, whoever leads
         self.last_beat = -1e9
+        self.want: Callable[[], object] = lambda: None  # what this node wants of the state service
+        self.lend: Callable[[str, object], object] = lambda peer, want: None  # what this leader lends of its share
+        self.on_lent: Callable[[object], None] = lambda _: None
+        self.peer_want: dict[str, tuple[float, object]] = {}
         self.hint: Callable[[], object] = lambda: None
         self.on_hint: Callable[[object], None] = lambda _: None
         self.rank = sorted([me, *[p.name for p in peers]]).index(me)
@@ -241,6 +245,8 @@
                     self.leader_heard = self.clock()
                 if ok and m.get("hint") is not None:
                     self.on_hint(m["hint"])
+                if ok and self.role is Role.FOLLOWER:
+                    self.on_lent(m.get("lent"))
                 if token > self.token and self.role in (Role.LEADER, Role.LOADING) and ok:
                     self.step_down("a peer leads with a newer token")
         elif kind == "vote":
@@ -253,7 +259,7 @@
                 self.next_try = 0.0
             ok = True
         beats = self.beats_seen if self.clock() - self.last_beat < 3.0 else 0
-        return {"ok": ok, "sok": self.store.fresh(), "top": self.promise.token, "beats": beats}
+        return {"ok": ok, "sok": self.store.fresh(), "top": self.promise.token, "beats": beats, "want": self.want()}
 
     def _note(self, peer: Peer, answer: dict) -> None:
         self.peer_heard[peer.name] = self.clock()
@@ -261,6 +267,7 @@
             self.peer_state_ok[peer.name] = self.clock()
         else:
             self.peer_state_ok.pop(peer.name, None)
+        self.peer_want[peer.name] = (self.clock(), answer.get("want"))
         if isinstance(answer.get("beats"), int):
             self.peer_beats[peer.name] = (self.clock(), answer["beats"])
 
@@ -271,6 +278,9 @@
         message = {"t": "ping", "n": self.me, "tok": token, "sok": self.store.fresh()}
         if leading and hint is not None:
             message["hint"] = hint
+        if leading:
+            at, want = self.peer_want.get(peer.name, (-1e9, None))
+            message["lent"] = self.lend(peer.name, want if sent - at < 2.0 * PING_S else None)
         answer = await peer.call(message, timeout=1.5)
         if answer is None:
             return
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -54,6 +54,8 @@
         )  # fmt: skip
         self.keeper = Keeper(settings.node_name, self.leadership, self.store, self.table, clock)
         self.keep_keys = [st.KEEP + seed.node_name for seed in settings.seeds]
+        self.leadership.want, self.leadership.lend = self.store.want.now, self.store.lend
+        self.leadership.on_lent = self.store.borrow
         self.leadership.hint = self.fleet.hint
         self.leadership.on_hint = self.fleet.take_hint
         self.table.on_taken = self._taken
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -21,6 +21,10 @@
 
 MOST_WAIT_S = 1.0
 FRESH_S = 1.5
+LEADS = (0.66, 0.76)  # a leader's share of requests and of changes; followers store new jobs and cancellations only
+KEEPS = 0.4  # of the limits, a leader never lends
+LENT_S = 2.5  # how long a follower may use what it was lent
+WANT_S = 2.0  # over which time the wish for requests and changes is smoothed
 
 ROOT = "hookwall/"
 JOBS = ROOT + "job/"
@@ -78,6 +82,25 @@
         self.rate, self.burst = rate, burst
 
 
+class Want:
+    """How many requests and changes a second this node would make, those included that were refused for pace."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.at = clock()
+        self.rates = [0.0, 0.0]
+
+    def add(self, requests: float, changes: float) -> None:
+        self.rates = [r + n / WANT_S for r, n in zip(self.now(), (requests, changes), strict=True)]
+
+    def now(self) -> list[float]:
+        """Decayed up to this moment."""
+        now = self.clock()
+        decay = math.exp(-max(0.0, now - self.at) / WANT_S)
+        self.at, self.rates = now, [r * decay for r in self.rates]
+        return self.rates
+
+
 class Store:
     """Requests to the state service, with what is known about its health."""
 
@@ -91,22 +114,74 @@
         self.nodes = nodes
         self.requests = Bucket(limits.rps * 0.25, limits.rps * 0.25, clock)
         self.writes = Bucket(limits.write_rps * 0.25, limits.write_rps * 0.25, clock)
+        self.want = Want(clock)
+        self.leading = False
+        self.lent: dict[str, tuple[tuple[float, float], float]] = {}
+        self.borrowed, self.borrowed_until = (0.0, 0.0), -1e9
         self.lead(False)
 
     async def open(self) -> None:
         self.session = open_session(64)
 
+    # -- shares of the service's limits --------------------------------------------------------
+
     def lead(self, leading: bool) -> None:
-        """Take a leader's or a follower's share of the service's limits."""
-        for bucket, limit, most in (
-            (self.requests, self.limits.rps, 0.66),
-            (self.writes, self.limits.write_rps, 0.76),  # followers store new jobs and cancellations only
-        ):
+        """Take a leader's or a follower's share of the service's limits; nothing is lent or borrowed yet."""
+        self.leading = leading
+        self.lent.clear()
+        self.borrowed, self.borrowed_until = (0.0, 0.0), -1e9
+        self._pace()
+
+    def _pace(self) -> None:
+        """Set the pace to this node's share, with what it has lent or borrowed."""
+        for i, (bucket, limit) in enumerate(self._buckets()):
             if self.nodes <= 1:
-                share = 0.95
+                rate = limit * 0.95
+            elif self.leading:
+                rate = limit * LEADS[i] - sum(lent[i] for lent, _ in self.lent.values())
             else:
-                share = most if leading else (0.96 - most) / (self.nodes - 1)
-            bucket.set_share(limit * share, max(2.0, limit * share * 0.7))
+                rate = limit * (0.96 - LEADS[i]) / (self.nodes - 1) + self.borrowed[i]
+            bucket.set_share(rate, max(2.0, rate * 0.7))
+
+    def _buckets(self) -> tuple[tuple[Bucket, float], tuple[Bucket, float]]:
+        return (self.requests, self.limits.rps), (self.writes, self.limits.write_rps)
+
+    def lend(self, peer: str, want: object) -> list[float]:
+        """What a follower may make beyond its own share, by what it said it wants. The leader makes so much less.
+
+        Users come to the healthy nodes, whoever leads. When two of three nodes had crashed, all came to
+        one follower, and with its tenth of the changes new jobs were accepted 20 s late.
+        """
+        now = self.clock()
+        self.lent = {p: (lent, until) for p, (lent, until) in self.lent.items() if until > now and p != peer}
+        out = [0.0, 0.0]
+        if self.leading and self.nodes > 1 and isinstance(want, list) and len(want) == 2:
+            for i, (_, limit) in enumerate(self._buckets()):
+                if isinstance(want[i], float | int) and math.isfinite(want[i]):
+                    own = limit * (0.96 - LEADS[i]) / (self.nodes - 1)
+                    left = limit * (LEADS[i] - KEEPS) - sum(lent[i] for lent, _ in self.lent.values())
+                    out[i] = max(0.0, min(1.3 * want[i] - own, left))
+        if any(out):
+            self.lent[peer] = ((out[0], out[1]), now + LENT_S)
+        self._pace()
+        return out
+
+    def borrow(self, lent: object) -> None:
+        """The leader lends some of its share, for a short while."""
+        if isinstance(lent, list) and len(lent) == 2 and all(isinstance(n, float | int) and n >= 0 for n in lent):
+            self.borrowed = (float(lent[0]), float(lent[1]))
+            self.borrowed_until = self.clock() + LENT_S
+            self._pace()
+
+    def _take_back(self) -> None:
+        """End what was lent or borrowed for a while that is over."""
+        now = self.clock()
+        if any(self.borrowed) and now >= self.borrowed_until:
+            self.borrowed = (0.0, 0.0)
+            self._pace()
+        if self.lent and all(until <= now for _, until in self.lent.values()):
+            self.lent.clear()
+            self._pace()
 
     def batch(self) -> int:
         """How many keys to put into one write: what the pace lets through in half a second."""
@@ -138,6 +213,8 @@
     async def _send(
         self, method: str, path: str, body: object = None, timeout: float = 1.5, cost: float = 0.0
     ) -> tuple[int, dict]:
+        self.want.add(1.0, cost)
+        self._take_back()
         wait = self.writes.delay(cost, MOST_WAIT_S) if cost else 0.0
         if wait is None:
             raise Refused("own budget is used up")
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -25,6 +25,43 @@
     assert sum(s.requests.rate for s in stores) < params.state.rps
 
 
+def test_a_leader_lends_what_a_follower_wants_and_has_it_back(params, clock):
+    # All users came to one follower after the other nodes had crashed, and a tenth of the changes kept them 20 s.
+    lead, busy, idle = stores = [Store("h:1", params.state, 3, clock) for _ in range(3)]
+    lead.lead(True)
+    own = busy.writes.rate
+    for _ in range(40):
+        clock.tick(0.1)
+        busy.want.add(1.0, 1.0)
+    busy.borrow(lead.lend("busy", busy.want.now()))
+    idle.borrow(lead.lend("idle", idle.want.now()))
+    assert busy.writes.rate > 2.5 * own and idle.writes.rate == own
+    assert sum(s.writes.rate for s in stores) < params.state.write_rps
+    assert sum(s.requests.rate for s in stores) < params.state.rps
+    assert lead.writes.rate >= 0.4 * params.state.write_rps - 1e-6
+    # Nobody says more: a follower stops first, and then the leader has its share again.
+    clock.tick(2.6)
+    for s in stores:
+        s._take_back()
+    assert busy.writes.rate == own and lead.writes.rate > 0.7 * params.state.write_rps
+    # A new role starts from its own share.
+    busy.borrow([5.0, 5.0])
+    busy.lead(False)
+    assert busy.writes.rate == own
+
+
+@pytest.mark.parametrize("nonsense", [None, 3, [1.0], ["a", "b"], [float("nan"), float("inf")], [-1.0, -1.0]])
+def test_a_peers_nonsense_about_shares_changes_none(params, clock, nonsense):
+    s = Store("h:1", params.state, 3, clock)
+    s.lead(True)
+    before = s.writes.rate
+    assert s.lend("peer", nonsense) == [0.0, 0.0] and s.writes.rate == before
+    s.lead(False)
+    before = s.writes.rate
+    s.borrow(nonsense)
+    assert s.writes.rate == before
+
+
 def test_a_batch_is_no_larger_than_its_pace(params, clock):
     s = Store("h:1", params.state, 3, clock)
     s.lead(True)
