--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -28,7 +28,6 @@
 DECLINE = 0.35  # of the time of a fetch, a job leaves machines without its image to others
 DECLINE_ARRAY = 0.7
 DECLINE_GANG = 1.2  # for gangs of several tasks
-LAST = 0.15  # so much of the time within which a job should begin it leaves nothing to others any more
 STARVES_S = 60.0
 SETTLED_S = 30.0  # a start that lasts this long counts for its user
 
@@ -116,10 +115,10 @@
         self.lowest_rank = -1  # of the work that is on machines
         self.kept_at = -1e9
         self.value_bytes = params.state.value_kb * 1024
-        self.starts: dict[str, list[float]] = {}  # within what times a class is expected to begin
-        for o in sorted(params.objectives, key=lambda o: o.within_s or 0.0):
+        self.last_start: dict[str, float] = {}  # when a class is expected to have begun at the latest
+        for o in params.objectives:
             if o.kind == "wait" and o.job_class and o.within_s:
-                self.starts.setdefault(o.job_class, []).append(o.within_s)
+                self.last_start[o.job_class] = max(o.within_s, self.last_start.get(o.job_class, 0.0))
 
     # -- the picture ---------------------------------------------------------------------------
 
@@ -364,17 +363,12 @@
     def _leaves(self, w: Waiting, now: float, fetch: float, share: float) -> bool:
         """Whether a job goes on leaving machines without its image to others: for a share of the fetch's time.
 
-        Not in the last moments in which a fetch lets it begin within one of the times that its class is
-        promised, nor after the last of them. Counted by the time of day at which it came, since a new
-        leader has seen nothing wait yet.
+        Not where it would miss the last moment at which its class is expected to have begun. That is
+        counted by the time of day at which it came, since a new leader has seen nothing wait yet.
         """
         assert w.job.spec is not None
-        starts = self.starts.get(w.job.spec.job_class)
-        if starts:
-            begins = self.wall() - w.job.at + fetch
-            aim = next((s for s in starts if begins <= s), 0.0)
-            if begins > aim * (1.0 - LAST):
-                return False
+        if self.wall() - w.job.at + fetch > self.last_start.get(w.job.spec.job_class, math.inf):
+            return False
         if w.declined < 0:
             w.declined = now
         return now - w.declined < share * fetch
