--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -111,7 +111,6 @@
         self.waiting: dict[str, Waiting] = {}
         self.fresh_count: Callable[[], int] = lambda: 0
         self.mean_whole = 0.0
-        self.mean_size = 1.0  # of the job to which such a task belongs: jobs come and go whole
         self.whole_rank = self.last_whole_rank = -1
         self.lowest_rank = -1  # of the work that is on machines
         self.kept_at = -1e9
@@ -453,20 +452,17 @@
 
     def _measure(self, now: float) -> None:
         """Follow how many machines the jobs need that take one whole."""
-        need = squares = 0
+        need = 0
         self.whole_rank = self.lowest_rank = -1
         for job in self.table.open.values():
             if job.active:
                 self.lowest_rank = max(self.lowest_rank, job.rank)
             if job.phase == OPEN and self._whole(job):
                 need += job.tasks - job.n_done
-                squares += (job.tasks - job.n_done) * (job.tasks if job.spec.gang else 1)
                 self.whole_rank = max(self.whole_rank, job.rank)
         f = 1.0 - math.exp(-min(30.0, max(0.0, now - self.kept_at)) / SMOOTH_S)
         self.kept_at = now
         self.mean_whole += f * (need - self.mean_whole)
-        if need:
-            self.mean_size += f * (squares / need - self.mean_size)
         if self.whole_rank < 0:
             self.whole_rank = self.last_whole_rank
         self.last_whole_rank = self.whole_rank
@@ -483,7 +479,7 @@
         )  # fmt: skip
         if self.mean_whole < 0.5 and not waits:
             return
-        left = math.ceil(KEEP_Z * math.sqrt(self.mean_whole * self.mean_size))
+        left = math.ceil(KEEP_Z * math.sqrt(self.mean_whole))
         spare = [
             r for r in p.rooms.values()
             if not r.spot and r.index not in p.held and not self._has_whole(r.index)
