A peer that stands still no longer holds up a take-over: 0.7 s for its vote, 1.5 s for its promise

Change: a majority of votes is enough, and first promises are asked for beside the rebuilding; valid is still only who has a majority's. Test with a peer that stands still; it fails on the sources before.

--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -18,8 +18,9 @@
 import asyncio
 import logging
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from enum import Enum
+from typing import Any
 
 from hookwall import store as st
 from hookwall.peers import Peer
@@ -147,6 +148,7 @@
         self.on_hint: Callable[[object], None] = lambda _: None
         self.rank = sorted([me, *[p.name for p in peers]]).index(me)
         self.next_try = 0.0
+        self.beside: set[asyncio.Task] = set()
 
     # -- what others ask ---------------------------------------------------------------------
 
@@ -299,7 +301,7 @@
             hint = self.hint() if leading and turn % HINT_EVERY == 0 else None
             turn += 1
             for peer in self.peers:
-                asyncio.get_running_loop().create_task(self._ping(peer, hint))
+                self._later(self._ping(peer, hint))
             if leading and not self.promise.renew(self.me, self.token) and self.mode is Mode.PROMISE:
                 self.step_down("own promise is with another node")
             await asyncio.sleep(PING_S)
@@ -342,6 +344,35 @@
             return True
         return self.key_mode is Mode.PROMISE and not self.promise.guarded()
 
+    def _later(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        """Let something go on beside what this node does now."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.beside.add(task)
+        task.add_done_callback(self.beside.discard)
+        return task
+
+    async def _votes(self) -> tuple[int, bool]:
+        """Ask all peers; how many votes there are, this node's included, and whether any peer answered.
+
+        A majority is enough: a leader that stands still or is cut off answers nothing, and waiting for
+        its vote, and then for its promise, took over two seconds of each take-over from it.
+        """
+
+        async def ask(peer: Peer) -> dict | None:
+            answer = await peer.call({"t": "vote", "n": self.me, "sok": True}, timeout=0.7)
+            if answer is not None:
+                self._note(peer, answer)
+            return answer
+
+        votes, heard = 1, False
+        for next_answer in asyncio.as_completed([self._later(ask(p)) for p in self.peers]):
+            answer = await next_answer
+            heard = heard or answer is not None
+            votes += answer is not None and bool(answer.get("ok"))
+            if votes >= self.majority:
+                break
+        return votes, heard
+
     async def _campaign(self) -> None:
         self._become(Role.CANDIDATE, "no valid leader is known")
         won = False
@@ -351,17 +382,10 @@
             self.saw_key(value, stamp)
             if not self._may_campaign() or not self.promise.vote(self.me):
                 return
-            answers = await asyncio.gather(
-                *(p.call({"t": "vote", "n": self.me, "sok": True}, timeout=0.7) for p in self.peers)
-            )
-            votes = 1 + sum(1 for a in answers if a is not None and a.get("ok"))
-            for peer, a in zip(self.peers, answers, strict=True):
-                if a is not None:
-                    self._note(peer, a)
+            votes, heard = await self._votes()
             mode = Mode.PROMISE
             if votes < self.majority:
                 # A peer that answers could form a majority with this node or another, so it decides.
-                heard = any(a is not None for a in answers)
                 gone_for = self.clock() - (self.key_gone_at if stamp == 0 else self.promise.started)
                 if heard or not self._unfenced() or gone_for < ALONE_S:
                     log.debug("campaign: %d votes", votes)
@@ -381,7 +405,8 @@
             self.saw_key(record, token)
             self.promise.renew(self.me, token)
             self._become(Role.LOADING, f"{votes} votes, mode {mode.value}")
-            await asyncio.gather(*(self._ping(p) for p in self.peers))
+            for p in self.peers:
+                self._later(self._ping(p))
             await self.load()
             if self.role is Role.LOADING:
                 won = True
@@ -405,7 +430,7 @@
         self.next_try = self.clock() + 4.0
         message = {"t": "release", "n": self.me, "tok": self.token, "resign": to}
         for p in self.peers:
-            asyncio.get_running_loop().create_task(p.call(message))
+            self._later(p.call(message))
 
     async def _give_up_key(self, why: str, pause: float) -> None:
         """Stop commanding, then remove the key, so that whoever can lead need not wait."""
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -107,6 +107,24 @@
     assert lead.token == state.keys[st.LEADER][1] == 41
 
 
+def test_a_peer_that_stands_still_does_not_hold_up_a_take_over(state, clock):
+    # The old leader itself: its vote and its promise were waited for, 0.7 and 1.5 s.
+    class StandsStill(ScriptedPeer):
+        async def call(self, message, timeout=1.0):
+            await asyncio.sleep(timeout)
+
+    async def take_over():
+        lead = make(state, clock, [yes])
+        lead.peers.insert(0, StandsStill("n2", None))
+        async with asyncio.timeout(0.5):
+            await lead._campaign()
+        await asyncio.sleep(0)
+        return lead
+
+    lead = asyncio.run(take_over())
+    assert lead.role is Role.LEADER and lead.valid()
+
+
 def test_a_leader_without_a_majority_falls_silent_before_the_promises_end(state, clock):
     lead = make(state, clock, [yes, silent])
     asyncio.run(lead._campaign())
