--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -414,7 +414,9 @@
         left: list[Room] = []
         fetch = 0.0
         for r in rooms:
-            if job.image not in r.warm and wanted & r.warm and allowed(ask, r) and units(ask, r) > 0:
+            if r.gpus + EPS < spec.gpus or job.image in r.warm:
+                continue  # in a queue, nearly all are full: the cheapest check comes first
+            if wanted & r.warm and allowed(ask, r) and units(ask, r) > 0:
                 left.append(r)
                 fetch = max(fetch, self.fleet.fetch_s(r.type, spec.image_gb))
         if fetch < WARM_GAIN_S or not self._leaves(w, now, fetch, DECLINE_GANG):
