--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -366,9 +366,12 @@
         if b.token != self.token or b.tenure != m.tenure:
             if m.hears:
                 log.info("machine %s reports, but seems not to get our answers", m.name)
-            m.hears = False
+            # The first report of all: it has had no chance yet. A worker that has just begun, as one that
+            # has seen no token has, is trusted to hear the answer, and finds its first tasks in the next:
+            # half a second later instead of three, of the 60 in which urgent work is to begin.
+            m.hears = m.tenure == 0 and b.tenure == 1 and b.token == 0
             if m.tenure == 0:
-                m.heard_us_at = now  # the first report of all: it has had no chance yet
+                m.heard_us_at = now
         elif now - m.answered < UNANSWERED_S:
             m.heard_us_at = now
             if m.silent:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -230,6 +230,23 @@
     assert placed(cluster, 2)
 
 
+def test_a_worker_that_has_just_begun_finds_its_first_task_in_the_second_answer(cluster):
+    job = cluster.submit(1)
+    assert cluster.beat("vm-1", token=0, tick=1) == []
+    cluster.scheduler.round()
+    cluster.store()
+    cluster.clock.tick(0.5)
+    assert cluster.beat("vm-1", tick=2) == [("launch", f"{job.ref}/0", 1)]
+    # But one that shows then that it has not heard gets no more.
+    cluster.submit(2, pieces=3)
+    cluster.scheduler.round()
+    cluster.beat("vm-2", token=0, tick=1)
+    assert placed(cluster, 3)
+    cluster.clock.tick(5.0)
+    cluster.beat("vm-2", token=0, tick=2)
+    assert not placed(cluster, 4)
+
+
 def test_a_late_copy_of_an_earlier_tenure_frees_nothing(cluster):
     job = started(cluster)
     cluster.beat("vm-1", tenure=2, tick=1)
