Sockets: a quarter for those who wait, 100 of our own; at the limit the longest idle go first

Excluded: accepted connections (849 at most, counted each second). Change: the places for waiting connections and the most that are kept follow the settings' sockets. Test over real sockets.

--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -336,7 +336,8 @@
         await self.client.open()
         await peers.listen(self.settings.peer_listen, self.leadership.handle)
         host, port = address(self.settings.public_addr, "public_addr")
-        await server.listen(server.Door(self.api, self.beat, self.up), host, port)
+        door = server.Door(self.api, self.beat, self.up, self.settings.settings.machine_limits.sockets)
+        await server.listen(door, host, port)
         log.info("%s listens", self.settings.node_name)
         lead = self.leadership
         loops = {
@@ -348,6 +349,7 @@
             "probe": lead.probe_loop,
             "lead": lambda: lead.run(lambda: bool(self.fleet.machines)),
             "keep": self.keeper.run,
+            "shed": door.run,
             "rent": lambda: self.renting.run(lead.valid, lambda: lead.token),
         }
         await asyncio.gather(*(self._keep(n, f) for n, f in loops.items()))
--- a/hookwall/server.py
+++ b/hookwall/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
@@ -16,9 +17,11 @@
 # connection stays for an hour, and a day's machines and users came to two thirds of the sockets there are.
 IDLE_S = 30.0  # workers report, and users ask, every few seconds
 BODY_S = 5.0  # then whoever sends a request has given it up
-# A fleet that comes at once waits here. Not more of it: at a node that stood still for 18 s each worker had left two
-# connections behind, and with 4,096 places those and the open ones came to 1,485 of 1,633 sockets.
-BACKLOG = 512
+# Of the sockets that the platform gives: a fleet that comes at once waits in a quarter of them, and some are our own.
+# With 4,096 places, what workers had left behind at a node that stood still came to 1,531 of 1,633 sockets.
+WAITING = 0.25
+OWN = 100  # to the state service, the cloud and peers
+LEAST_IDLE_S = 4.0  # longer than a worker waits between two reports, or for an answer
 
 BeatHandler = Callable[[bytes], Awaitable[tuple[int, bytes]]]
 
@@ -26,13 +29,25 @@
 class Door:
     """Answers requests; never holds one back."""
 
-    def __init__(self, api: UserApi, beat: BeatHandler, up: Callable[[], bool]) -> None:
-        self.api, self.beat, self.up = api, beat, up
+    def __init__(
+        self,
+        api: UserApi,
+        beat: BeatHandler,
+        up: Callable[[], bool],
+        sockets: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.api, self.beat, self.up, self.clock = api, beat, up, clock
         self.at_once = 0
         self.body_s = BODY_S
+        self.backlog = max(16, int(sockets * WAITING))
+        self.most = max(16, sockets - self.backlog - OWN)  # connections
+        self.asked: dict[web.RequestHandler, float] = {}  # when each connection was last used
+        self.server: web.Server | None = None
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         path, method = request.path, request.method
+        self.asked[request.protocol] = self.clock()
         try:
             if path == "/agent/beat" and method == "POST":
                 body = await self._body(request)
@@ -74,6 +89,28 @@
         finally:
             self.at_once -= 1
 
+    def shed(self) -> int:
+        """At the limit of sockets, close the connections that were idle longest, so that accepting goes on."""
+        if self.server is None:
+            return 0
+        now = self.clock()
+        there = self.server.connections
+        self.asked = {c: self.asked.get(c, now) for c in there}
+        over = len(there) - self.most
+        if over <= 0:
+            return 0
+        idle = sorted((c for c in there if now - self.asked[c] > LEAST_IDLE_S), key=lambda c: self.asked[c])[:over]
+        for c in idle:
+            c.force_close()
+        log.info("closed %d idle connections of %d", len(idle), len(there))
+        return len(idle)
+
+    async def run(self) -> None:
+        """Keep connections below the limit while the node runs."""
+        while True:
+            await asyncio.sleep(1.0)
+            self.shed()
+
     async def _body(self, request: web.BaseRequest) -> bytes | web.Response:
         """The body, or the refusal of one that is over the limit or does not come; a large one is not read first."""
         too_large = _reply(413, b'{"error":"too large"}', close=True)
@@ -102,5 +139,5 @@
 
 async def listen(door: Door, host: str, port: int, idle_s: float = IDLE_S) -> asyncio.Server:
     """Start answering; connections on which nothing is asked for long are closed."""
-    server = web.Server(door.handle, access_log=None, keepalive_timeout=idle_s)
-    return await asyncio.get_running_loop().create_server(server, host, port, backlog=BACKLOG)
+    door.server = web.Server(door.handle, access_log=None, keepalive_timeout=idle_s)
+    return await asyncio.get_running_loop().create_server(door.server, host, port, backlog=door.backlog)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -22,7 +22,7 @@
         async def beat(body):
             return 421, b"{}"
 
-        door = Door(api, beat, lambda: True)
+        door = Door(api, beat, lambda: True, params.machine_limits.sockets, clock)
         server = await listen(door, "127.0.0.1", 0, idle_s)
         confirming = asyncio.create_task(confirmer.run())
         base = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
@@ -128,6 +128,32 @@
     assert talk(params, state, clock, script, idle_s=0.2) == (b"200", b"")
 
 
+def test_at_the_limit_of_sockets_the_longest_idle_go_first(params, state, clock):
+    # Workers leave connections behind; those of the nodes' own, and new ones, must go on being had.
+    async def script(session, base, door):
+        host, port = base.removeprefix("http://").split(":")
+        door.most = 2
+        opened = []
+        for _ in range(4):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+            await reader.readuntil(b"{}")
+            opened.append((reader, writer))
+            clock.tick(3.0)
+        closed = door.shed()
+        async with asyncio.timeout(3.0):
+            ends = [await opened[i][0].read() for i in range(closed)]
+        still = [len(door.server.connections), door.shed()]
+        for _, writer in opened:
+            writer.close()
+        return closed, ends, still
+
+    # The newest two are there; the limit leaves room for what waits and for the node's own connections.
+    assert talk(params, state, clock, script) == (2, [b"", b""], [2, 0])
+    door = Door(None, None, None, 1563)
+    assert door.most + door.backlog + 72 + 4 < 1563 and door.most > 860
+
+
 def test_a_body_that_does_not_come_gives_its_place_back(params, state, clock):
     # Behind a cut the rest of a request never comes; 200 of them would have kept all users out.
     async def script(session, base, door):
