A cancellation is known to the leader or a majority before its user is told; no lease on old knowledge

The gap: the state service refused the leader alone, another node confirmed cancellations, and an outage for all followed that was longer than cancel_s. The leader's promises were renewed by peers that lacked the service too, so it went on renewing leases of tasks it did not know to be cancelled.

Backstop: nobody renews a lease on knowledge older than cancel_s less the lease. Spread: a user is told once a valid leader or a majority knows, and each promise carries what the leader has not shown to know, so an outage costs no work.

--- a/hookwall/client.py
+++ b/hookwall/client.py
@@ -19,9 +19,10 @@
 
 
 async def call(
-    session: aiohttp.ClientSession, method: str, url: str, body: object, timeout: float
+    session: aiohttp.ClientSession | None, method: str, url: str, body: object, timeout: float
 ) -> tuple[int, bytes]:
     """Status and raw body of one request, or NoAnswer."""
+    assert session is not None, "not opened yet"
     data = msgspec.json.encode(body) if body is not None else None
     try:
         async with asyncio.timeout(timeout):
--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -44,6 +44,7 @@
     def __init__(self, address: str, rps: float, clock: Callable[[], float]) -> None:
         self.base = f"http://{address}"
         self.session: aiohttp.ClientSession | None = None
+        self.call = call  # tests put a stand-in here
         self.bucket = Bucket(rps * 0.9, max(1.0, rps * 1.5), clock)
 
     async def open(self) -> None:
@@ -53,9 +54,8 @@
         wait = self.bucket.delay(1.0)
         if wait:
             await asyncio.sleep(wait)
-        assert self.session is not None
         try:
-            status, raw = await call(self.session, method, self.base + path, body, timeout)
+            status, raw = await self.call(self.session, method, self.base + path, body, timeout)
             return status, msgspec.json.decode(raw) if raw else {}
         except (NoAnswer, msgspec.DecodeError) as e:
             raise Trouble(str(e)) from None
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -17,9 +17,9 @@
 from enum import Enum
 
 from hookwall import wire
+from hookwall.clocks import DRIFT
 from hookwall.jobs import OPEN, WITHDRAWN, Active, Job, JobTable
 from hookwall.keeper import Kept
-from hookwall.leadership import DRIFT
 from hookwall.placement import Room
 from hookwall.settings import Params
 from hookwall.wire import Beat, Catalog, MachineType, Order
--- a/hookwall/jobs.py
+++ b/hookwall/jobs.py
@@ -7,7 +7,7 @@
 
 import logging
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -268,6 +268,8 @@
         self.jobs: dict[str, Job] = {}
         self.open: dict[str, Job] = {}  # those that still matter to the leader
         self.on_taken: Callable[[Job, list[Active]], None] = lambda job, before: None
+        self.heard: dict[str, int] = {}  # cancellations that a peer has told and the records here don't show yet
+        self.on_withdrawn: Callable[[str, int], None] = lambda ref, stamp: None
 
     def apply(self, key: str, value: object, stamp: int) -> None:
         """A record as read or watched; older than what is known: ignored."""
@@ -279,6 +281,8 @@
             return
         if job.writing:
             job.parked = (value, stamp)
+            if isinstance(value, dict) and value.get("phase") == WITHDRAWN:
+                self.withdraw(ref, stamp)
             return
         before = list(job.active.values())
         try:
@@ -286,9 +290,33 @@
         except (ValueError, TypeError, IndexError, AttributeError, msgspec.ValidationError) as e:
             log.error("record of %s is malformed: %s", ref, e)
             return
+        if job.stored_phase == WITHDRAWN:
+            self.on_withdrawn(ref, stamp)
+        if self.heard.get(ref, 0) > stamp and not job.final():
+            job.phase = WITHDRAWN
+        else:
+            self.heard.pop(ref, None)
         self.note(job)
         self.on_taken(job, before)
 
+    def withdraw(self, ref: str, stamp: int) -> None:
+        """Somebody knows that this job's cancellation was stored: no start of it from now on, and its tasks stop.
+
+        The record follows when the state service shows it; whatever is written on the older one fails.
+        """
+        job = self.jobs.get(ref)
+        if job is not None and (job.stamp >= stamp or job.final()):
+            return
+        self.heard[ref] = max(stamp, self.heard.get(ref, 0))
+        if job is not None:
+            job.phase = WITHDRAWN
+        self.on_withdrawn(ref, stamp)
+
+    def withdrawn(self, ref: str) -> bool:
+        """Whether the job is known to be cancelled."""
+        job = self.jobs.get(ref)
+        return ref in self.heard or (job is not None and job.phase == WITHDRAWN)
+
     def void_decisions(self) -> None:
         """What an earlier leadership decided and did not store is to be replaced by the records.
 
@@ -315,6 +343,13 @@
 
 
 Answer = tuple[int, bytes, dict[str, str] | None]
+
+
+async def _always(ref: str, stamp: int) -> bool:
+    """Where there is nobody else to tell."""
+    return True
+
+
 LATER = {"Retry-After": "1"}
 
 
@@ -326,10 +361,20 @@
 class UserApi:
     """What users may ask of any node."""
 
-    def __init__(self, params: Params, table: JobTable, store: Store, confirmer: Confirmer) -> None:
+    def __init__(
+        self,
+        params: Params,
+        table: JobTable,
+        store: Store,
+        confirmer: Confirmer,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.wall = wall
         self.params, self.table, self.store, self.confirmer = params, table, store, confirmer
         self.teams = {t.name: t for t in params.teams}
         self.catalog: Catalog | None = None
+        # Whether a user may be told of a stored cancellation (cancellations.py).
+        self.confirmed: Callable[[str, int], Awaitable[bool]] = _always
 
     async def refresh(self, key: str) -> None:
         """Read a job's record anew."""
@@ -337,20 +382,28 @@
         if got is not None:
             self.table.apply(key, *got)
 
-    def _state(self, job: Job) -> Answer:
+    def _seen(self, job: Job) -> tuple[str, int]:
+        """The newest state of the job that was seen, and its stamp.
+
+        While a write of ours is under way somebody else's may have been seen: a cancellation told to
+        its user must not be followed by "running" because of the order in which we store.
+        """
         parked = job.parked
         if parked is not None and parked[1] > job.stamp and isinstance(parked[0], dict):
-            # Our own write is under way, and somebody else's has been seen: a cancellation told to
-            # its user must not be followed by "running" because of the order in which we store.
-            value = parked[0]
-            phase = str(value.get("phase", OPEN))
+            phase = str(parked[0].get("phase", OPEN))
             if phase != OPEN:
-                return 200, wire.job_answer(job.ref, phase, job.stored_done, 0), None
-        if job.stored_phase == OPEN:
+                return phase, parked[1]
+        return job.stored_phase, job.stamp
+
+    async def _state(self, job: Job) -> Answer:
+        """What the job's user is told. Cancelled only once all its tasks are certain to end in time."""
+        phase, stamp = self._seen(job)
+        if phase == WITHDRAWN and not await self.confirmed(job.ref, stamp):
+            return later("the cancellation is not known to the leader yet")
+        if phase == OPEN:
             phase = "running" if job.stored_on else "pending"
             return 200, wire.job_answer(job.ref, phase, job.stored_done, len(job.stored_on)), None
-        done = job.tasks if job.stored_phase == DONE else job.stored_done
-        return 200, wire.job_answer(job.ref, job.stored_phase, done, 0), None
+        return 200, wire.job_answer(job.ref, phase, job.tasks if phase == DONE else job.stored_done, 0), None
 
     async def _current(self, ref: str) -> Job | None:
         """The job as it is now. A cached version is confirmed first unless it is final."""
@@ -370,7 +423,7 @@
             job = await self._current(ref)
         except (Refused, Unknown, TimeoutError):
             return later("state service")
-        return self._state(job) if job is not None else (404, b'{"error":"no such job"}', None)
+        return await self._state(job) if job is not None else (404, b'{"error":"no such job"}', None)
 
     def _cached_final(self, ref: str) -> bool:
         job = self.table.jobs.get(ref)
@@ -401,14 +454,14 @@
         except BadMessage as e:
             return 400, msgspec.json.encode({"error": str(e)}), None
         if self._cached_final(spec.ref):
-            return self._state(self.table.jobs[spec.ref])
+            return await self._state(self.table.jobs[spec.ref])
         if not self.store.healthy():
             return later("state service")
         try:
             if spec.ref in self.table.jobs and self.table.jobs[spec.ref].stamp:
                 job = await self._current(spec.ref)
                 if job is not None:
-                    return self._state(job)
+                    return await self._state(job)
             if self.catalog is None:
                 return later("machine types not known yet")
             why = self.impossible(spec, self.catalog)
@@ -416,10 +469,10 @@
                 # An accepted job must not be refused later, whatever this node remembers of it.
                 job = await self._current(spec.ref)
                 if job is not None:
-                    return self._state(job)
+                    return await self._state(job)
                 return 422, msgspec.json.encode({"error": why}), None
             job = Job(spec.ref)
-            job.spec, job.at, job.tasks, job.done = spec, time.time(), spec.tasks, bytearray(spec.tasks)
+            job.spec, job.at, job.tasks, job.done = spec, self.wall(), spec.tasks, bytearray(spec.tasks)
             key = st.JOBS + spec.ref
             record = job.record()
             if len(msgspec.json.encode(record)) > self.params.state.value_kb * 1024 - 512:
@@ -428,7 +481,7 @@
                 stamp = await self.store.commit([(key, 0)], [(key, record)])
             except Conflict:
                 await self.refresh(key)
-                return self._state(self.table.jobs[spec.ref])
+                return await self._state(self.table.jobs[spec.ref])
             self.table.apply(key, record, stamp)
             log.debug("%s accepted: %s, %d tasks, image %s", spec.ref, spec.job_class, spec.tasks, spec.image)
             return 201, wire.job_answer(spec.ref, "pending"), None
@@ -439,7 +492,7 @@
         if not wire.REF.match(ref):
             return 404, b'{"error":"no such job"}', None
         if self._cached_final(ref):
-            return 200, wire.job_answer(ref, self.table.jobs[ref].stored_phase), None
+            return await self._ended(ref, self.table.jobs[ref].stored_phase, self.table.jobs[ref].stamp)
         if not self.store.healthy():
             return later("state service")
         key = st.JOBS + ref
@@ -452,7 +505,7 @@
                 self.table.apply(key, value, stamp)
                 assert isinstance(value, dict)
                 if value.get("phase") in (DONE, WITHDRAWN):
-                    return 200, wire.job_answer(ref, str(value["phase"])), None
+                    return await self._ended(ref, str(value["phase"]), stamp)
                 changed = {**value, "phase": WITHDRAWN}
                 if not changed.get("on"):
                     for name in ("spec", "at", "done"):
@@ -462,7 +515,13 @@
                 except Conflict:
                     continue
                 self.table.apply(key, changed, new)
-                return 200, wire.job_answer(ref, WITHDRAWN), None
+                return await self._ended(ref, WITHDRAWN, new)
         except (Refused, Unknown, TimeoutError):
             pass
         return later("state service")
+
+    async def _ended(self, ref: str, phase: str, stamp: int) -> Answer:
+        """The answer to a cancellation of a job that has ended, now or before."""
+        if phase == WITHDRAWN and not await self.confirmed(ref, stamp):
+            return later("the cancellation is not known to the leader yet")
+        return 200, wire.job_answer(ref, phase), None
--- a/hookwall/keeper.py
+++ b/hookwall/keeper.py
@@ -15,8 +15,9 @@
 
 from hookwall import store as st
 from hookwall import wire
-from hookwall.jobs import WITHDRAWN, JobTable
-from hookwall.leadership import DRIFT, SLACK_S, Leadership, Mode, Role
+from hookwall.clocks import DRIFT, SLACK_S
+from hookwall.jobs import JobTable
+from hookwall.leadership import Leadership, Mode, Role
 from hookwall.store import Conflict, Refused, Store, Unknown
 from hookwall.wire import Beat, Order
 
@@ -32,7 +33,16 @@
 class Keeper:
     """One node's part in keeping other leaders' workers."""
 
-    def __init__(self, me: str, lead: Leadership, store: Store, table: JobTable, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        me: str,
+        lead: Leadership,
+        store: Store,
+        table: JobTable,
+        may_renew: Callable[[], bool],
+        clock: Callable[[], float],
+    ) -> None:
+        self.may_renew = may_renew  # the knowledge of cancellations is recent enough (cancellations.py)
         self.key = st.KEEP + me
         self.lead, self.store, self.table, self.clock = lead, store, table, clock
         self.token = 0
@@ -61,6 +71,7 @@
             and b.token <= lead.key_stamp
             and bool(b.tasks)
             and self.store.fresh()
+            and self.may_renew()
             and self.clock() - lead.leader_heard > UNHEARD_S
             and self.clock() - self.since.get(b.machine, self.clock()) < MOST_S
         )
@@ -101,8 +112,7 @@
         orders = []
         for t in b.tasks:
             parts = wire.split_task(t.piece)
-            job = self.table.jobs.get(parts[0]) if parts is not None else None
-            if job is not None and job.stored_phase == WITHDRAWN and t.phase != "exited":
+            if parts is not None and self.table.withdrawn(parts[0]) and t.phase != "exited":
                 orders.append(wire.stop(t.piece, t.attempt, 0.0))
         return orders
 
@@ -171,7 +181,7 @@
                 continue
             lead, now = self.lead, self.clock()
             heard = now - lead.leader_heard < UNHEARD_S
-            if lead.role in (Role.LOADING, Role.LEADER) or lead.key_stamp != self.token:
+            if lead.role.leads() or lead.key_stamp != self.token:
                 await self._stop("another leader")
                 continue
             if heard or now >= self.until:
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -23,6 +23,7 @@
 from typing import Any
 
 from hookwall import store as st
+from hookwall.clocks import DRIFT, SLACK_S
 from hookwall.peers import Peer
 from hookwall.store import Conflict, Refused, Store, Unknown
 
@@ -36,8 +37,6 @@
 SHORT_HOLD_S = 8.0
 LONELY_S = 3.0  # so long without a majority, a leader gives way to those who may have one
 ALONE_S = 2.0  # so long without a leader key, a node leads without a majority
-DRIFT = 0.002  # twice the drift between two clocks, and some more
-SLACK_S = 0.05  # timers fire in steps
 
 
 class Role(Enum):
@@ -46,6 +45,10 @@
     LOADING = "loading"
     LEADER = "leader"
 
+    def leads(self) -> bool:
+        """Whether the leader key was written for this role."""
+        return self in (Role.LOADING, Role.LEADER)
+
 
 class Mode(Enum):
     PROMISE = "promise"
@@ -143,6 +146,12 @@
         self.want: Callable[[], object] = lambda: None  # what this node wants of the state service
         self.lend: Callable[[str, object], object] = lambda peer, want: None  # what this leader lends of its share
         self.on_lent: Callable[[object], None] = lambda _: None
+        # Beside promises (cancellations.py): what a leader says, what a supporter answers, what that tells.
+        self.say: Callable[[], dict] = dict
+        self.reply: Callable[[dict], dict] = lambda ping: {}
+        self.on_reply: Callable[[str, float, dict], None] = lambda peer, sent, answer: None
+        self.on_told: Callable[[dict], dict] = lambda message: {}
+        self.on_key: Callable[[int], None] = lambda stamp: None
         self.peer_want: dict[str, tuple[float, object]] = {}
         self.hint: Callable[[], object] = lambda: None
         self.on_hint: Callable[[object], None] = lambda _: None
@@ -164,11 +173,14 @@
 
     def promised_until(self) -> float:
         """Until when a majority, this node included, is bound by its promises."""
-        need = self.majority - 1  # this node's own promise is in `self.promise`
+        return self.majority_at(self.acks) + PROMISE_S * (1 - DRIFT)
+
+    def majority_at(self, sent: dict[str, float]) -> float:
+        """The latest time since which a majority was asked and has answered; this node needs no asking."""
+        need = self.majority - 1
         if need == 0:
             return 1e18
-        sent = sorted(self.acks.values(), reverse=True)
-        return sent[need - 1] + PROMISE_S * (1 - DRIFT) if len(sent) >= need else -1e9
+        return sorted(sent.values(), reverse=True)[need - 1] if len(sent) >= need else -1e9
 
     def leader_name(self) -> str | None:
         """Who leads, as far as this node knows."""
@@ -222,9 +234,11 @@
         self.key_node, self.key_stamp, self.key_known = node, stamp, True
         self.key_mode = Mode.HOLD if v.get("mode") == Mode.HOLD.value else Mode.PROMISE
         self.promise.seen_key = (node, stamp)
+        if stamp:
+            self.on_key(stamp)
         if stamp and node != self.me:
             self.promise.token = max(self.promise.token, stamp)
-        if self.role in (Role.LEADER, Role.LOADING) and stamp != self.token:
+        if self.role.leads() and stamp != self.token:
             self.step_down("the leader key has changed")
 
     # -- messages ----------------------------------------------------------------------------
@@ -239,6 +253,7 @@
         elif "sok" in m:
             self.peer_state_ok.pop(node, None)
         ok = False
+        more: dict = {}
         if kind == "ping":
             token = m.get("tok")
             if isinstance(token, int) and token > 0:
@@ -249,10 +264,12 @@
                     self.on_hint(m["hint"])
                 if ok and self.role is Role.FOLLOWER:
                     self.on_lent(m.get("lent"))
-                if token > self.token and self.role in (Role.LEADER, Role.LOADING) and ok:
+                if ok:
+                    more = self.reply(m)
+                if token > self.token and self.role.leads() and ok:
                     self.step_down("a peer leads with a newer token")
         elif kind == "vote":
-            ok = self.role not in (Role.LEADER, Role.LOADING) and self.promise.vote(node)
+            ok = not self.role.leads() and self.promise.vote(node)
         elif kind == "release":
             token = m.get("tok")
             if isinstance(token, int):
@@ -260,8 +277,12 @@
             if m.get("resign") == self.me:
                 self.next_try = 0.0
             ok = True
+        elif kind == "cancelled":
+            ok, more = True, self.on_told(m)
         beats = self.beats_seen if self.clock() - self.last_beat < 3.0 else 0
-        return {"ok": ok, "sok": self.store.fresh(), "top": self.promise.token, "beats": beats, "want": self.want()}
+        return {
+            "ok": ok, "sok": self.store.fresh(), "top": self.promise.token, "beats": beats, "want": self.want(), **more,
+        }  # fmt: skip
 
     def _note(self, peer: Peer, answer: dict) -> None:
         self.peer_heard[peer.name] = self.clock()
@@ -274,7 +295,7 @@
             self.peer_beats[peer.name] = (self.clock(), answer["beats"])
 
     async def _ping(self, peer: Peer, hint: object = None) -> None:
-        leading = self.role in (Role.LEADER, Role.LOADING)
+        leading = self.role.leads()
         token = self.token if leading else 0
         sent = self.clock()
         message = {"t": "ping", "n": self.me, "tok": token, "sok": self.store.fresh()}
@@ -283,12 +304,15 @@
         if leading:
             at, want = self.peer_want.get(peer.name, (-1e9, None))
             message["lent"] = self.lend(peer.name, want if sent - at < 2.0 * PING_S else None)
+            message.update(self.say())
         answer = await peer.call(message, timeout=1.5)
         if answer is None:
             return
         self._note(peer, answer)
-        if token and token == self.token and self.role in (Role.LEADER, Role.LOADING):
+        if token and token == self.token and self.role.leads():
             if answer.get("ok"):
+                # What the promise carries is applied before it counts.
+                self.on_reply(peer.name, sent, answer)
                 self.acks[peer.name] = max(sent, self.acks.get(peer.name, -1e9))
             elif isinstance(answer.get("top"), int) and answer["top"] > token:
                 self.step_down(f"{peer.name} knows a newer token")
@@ -296,7 +320,7 @@
     async def ping_loop(self) -> None:
         turn = 0
         while True:
-            leading = self.role in (Role.LEADER, Role.LOADING)
+            leading = self.role.leads()
             # The hint grows with the fleet, so it is told now and then, and put together once for all.
             hint = self.hint() if leading and turn % HINT_EVERY == 0 else None
             turn += 1
@@ -351,6 +375,10 @@
         task.add_done_callback(self.beside.discard)
         return task
 
+    def call_all(self, message: dict, timeout: float) -> list[asyncio.Task]:
+        """Send a message to all peers; their answers as they come, None for none."""
+        return [self._later(p.call(message, timeout=timeout)) for p in self.peers]
+
     async def _votes(self) -> tuple[int, bool]:
         """Ask all peers; how many votes there are, this node's included, and whether any peer answered.
 
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -10,6 +10,7 @@
 
 from hookwall import peers, server, wire
 from hookwall import store as st
+from hookwall.cancellations import Cancellations
 from hookwall.cloud import CloudClient, Renting
 from hookwall.fleet import Fleet
 from hookwall.jobs import Active, Job, JobTable, UserApi, write_order
@@ -26,22 +27,28 @@
 ROUND_EVERY_S = 0.5
 ROUND_GAP_S = 0.1
 WRITE_GAP_S = 0.05
+WATCH_S = 3.0  # a watch that is quiet for long says nothing about how current this node is
 BATCH_BYTES = 56 * 1024
 
 
 class Node:
     """All slices of one process."""
 
-    def __init__(self, settings: Settings, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
         self.settings = settings
         params = settings.settings
         self.clock = clock
         self.store = Store(settings.external.state, params.state, params.size, clock)
         self.table = JobTable(clock)
         self.confirmer = Confirmer(self.store, self._refresh)
-        self.api = UserApi(params, self.table, self.store, self.confirmer)
+        self.api = UserApi(params, self.table, self.store, self.confirmer, wall)
         self.fleet = Fleet(params, self.table, clock)
-        self.scheduler = Scheduler(params, self.table, self.fleet, clock)
+        self.scheduler = Scheduler(params, self.table, self.fleet, clock, wall)
         self.scheduler.fresh_count = lambda: sum(j.fresh for j in self.table.open.values())
         self.client = CloudClient(settings.external.cloud, params.cloud.rps, clock)
         self.renting = Renting(params, self.fleet, self.scheduler, self.client, clock)
@@ -52,10 +59,20 @@
             settings.node_name, params.size, [Peer(s) for s in settings.seeds], self.store, clock,
             self._load, self._role,
         )  # fmt: skip
-        self.keeper = Keeper(settings.node_name, self.leadership, self.store, self.table, clock)
+        self.cancellations = Cancellations(
+            params.workers, self.leadership, self.store, clock, self._position, self.table.withdraw
+        )
+        self.keeper = Keeper(
+            settings.node_name, self.leadership, self.store, self.table, self.cancellations.may_renew, clock
+        )
         self.keep_keys = [st.KEEP + seed.node_name for seed in settings.seeds]
         self.leadership.want, self.leadership.lend = self.store.want.now, self.store.lend
         self.leadership.on_lent = self.store.borrow
+        self.leadership.say, self.leadership.reply = self.cancellations.say, self.cancellations.reply
+        self.leadership.on_reply, self.leadership.on_told = self.cancellations.on_reply, self.cancellations.on_told
+        self.leadership.on_key = lambda stamp: self.cancellations.settle(stamp - 1)
+        self.table.on_withdrawn = self._withdrawn
+        self.api.confirmed = self.cancellations.confirmed
         self.leadership.hint = self.fleet.hint
         self.leadership.on_hint = self.fleet.take_hint
         self.table.on_taken = self._taken
@@ -64,7 +81,8 @@
         self.wake = asyncio.Event()
         self.write_wake = asyncio.Event()
         self.fleet.wake = self.wake.set
-        self.epoch = 0
+        self.epoch = 0  # up to which the watch has told of all changes
+        self.scanned = 0  # the same of the last full read by a new leader
 
     # -- the state service ---------------------------------------------------------------------
 
@@ -91,6 +109,7 @@
 
     async def _read_all(self) -> None:
         """Read every key; the watch goes on from there."""
+        sent = self.clock()
         found, epoch = await self.store.scan(st.ROOT)
         self._keepers_missing(found)
         leader = False
@@ -100,16 +119,21 @@
         if not leader and self.leadership.key_stamp <= epoch:
             self.leadership.saw_key({}, 0)
         self.epoch = epoch
-        self.loaded = True
+        self.loaded = self.cancellations.complete = True
+        self.cancellations.read(sent)
 
     async def _load(self) -> None:
         """A new leader's picture starts from the records as they are after its key was written."""
         self.table.void_decisions()
-        found, _ = await self.store.scan(st.ROOT)
+        sent = self.clock()
+        found, epoch = await self.store.scan(st.ROOT)
         self._keepers_missing(found)
         for key, value, stamp in found:
             if key != st.LEADER:
                 self._take_key(key, value, stamp)
+        self.scanned = epoch
+        self.cancellations.complete = True
+        self.cancellations.read(sent)
         self.no_catalog = all(key != st.CATALOG for key, _, _ in found)
         self.fleet.reset(self.leadership.token)
         self.scheduler.waiting.clear()
@@ -128,7 +152,8 @@
                 if not self.loaded:
                     await self._read_all()
                     log.info("read %d jobs", len(self.table.jobs))
-                events, self.epoch = await self.store.changes(self.epoch, 10.0)
+                sent = self.clock()
+                events, epoch = await self.store.changes(self.epoch, WATCH_S)
                 for e in events:
                     stamp = e.get("stamp")
                     if not isinstance(stamp, int):
@@ -141,6 +166,8 @@
                         known = self.fleet.kept.keys.get(e["delete"])
                         if known is not None and stamp > known[0]:
                             self.fleet.kept.take(e["delete"], None, 0)
+                self.epoch = epoch
+                self.cancellations.read(sent)
                 await asyncio.sleep(0.1 if self.leadership.role is Role.LEADER else 0.25)
             except TooOld:
                 self.loaded = False
@@ -153,6 +180,14 @@
             self.fleet.retake(job, before)
         self.wake.set()
 
+    def _position(self) -> int:
+        """Up to which change this node has read the records."""
+        return max(self.epoch, self.scanned)
+
+    def _withdrawn(self, ref: str, stamp: int) -> None:
+        self.cancellations.learn(ref, stamp)
+        self.wake.set()
+
     async def _catalog(self, catalog: Catalog) -> None:
         """The leader has asked the cloud; the other nodes learn the machine types from the store."""
         old = self.api.catalog
@@ -265,7 +300,7 @@
     # -- leading -------------------------------------------------------------------------------
 
     def _role(self, role: Role) -> None:
-        self.store.lead(role in (Role.LEADER, Role.LOADING))
+        self.store.lead(role.leads())
         self.wake.set()
 
     async def beat(self, body: bytes) -> tuple[int, bytes]:
@@ -288,6 +323,8 @@
                     return 200, msgspec.json.encode(wire.BeatAnswer(self.keeper.token, orders))
                 name = lead.leader_name()
             return 421, msgspec.json.encode({"overseer": name} if name and name != lead.me else {})
+        if not self.cancellations.may_renew():
+            return 503, b"{}"  # too long without news of cancellations: this lease has to end in time
         self.fleet.begin(self.clock())
         orders = self.fleet.report(b)
         if orders is None:
@@ -339,6 +376,10 @@
         door = server.Door(self.api, self.beat, self.up, self.settings.settings.machine_limits.sockets)
         await server.listen(door, host, port)
         log.info("%s listens", self.settings.node_name)
+        await self.work({"shed": door.run})
+
+    async def work(self, more: dict[str, Callable[[], Any]] | None = None) -> None:
+        """All loops of this node; they go on until the process ends."""
         lead = self.leadership
         loops = {
             "watch": self.watch_loop,
@@ -349,7 +390,7 @@
             "probe": lead.probe_loop,
             "lead": lambda: lead.run(lambda: bool(self.fleet.machines)),
             "keep": self.keeper.run,
-            "shed": door.run,
             "rent": lambda: self.renting.run(lead.valid, lambda: lead.token),
+            **(more or {}),
         }
         await asyncio.gather(*(self._keep(n, f) for n, f in loops.items()))
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -109,6 +109,7 @@
         self.limits = limits
         self.clock = clock
         self.session: aiohttp.ClientSession | None = None
+        self.call = call  # tests put a stand-in here
         self.last_ok = -1e9
         self.bad_since: float | None = None
         self.nodes = nodes
@@ -224,9 +225,8 @@
             raise Refused("own budget is used up")
         if max(wait, more) > 0:
             await asyncio.sleep(max(wait, more))
-        assert self.session is not None
         try:
-            status, raw = await call(self.session, method, self.base + path, body, timeout)
+            status, raw = await self.call(self.session, method, self.base + path, body, timeout)
         except NoAnswer as e:
             self._bad(str(e))
             raise Unknown(str(e)) from None
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -23,7 +23,7 @@
     state.keys[st.LEADER] = ({"node": "n0"}, 7)
     lead.saw_key(*state.keys[st.LEADER])
     clock.tick(kp.UNHEARD_S + 1)
-    return Keeper("n1", lead, state, JobTable(clock), clock)
+    return Keeper("n1", lead, state, JobTable(clock), lambda: True, clock)
 
 
 def beat(token=7, tasks=(("run-000001/0", 1, "running"),), machine="vm-1"):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -30,6 +30,7 @@
     lead.role, lead.mode, lead.token, lead.hold_until = Role.LEADER, Mode.PROMISE, token, clock() + 60.0
     lead.acks = {"n1": clock()}
     node.fleet.reset(token)
+    node.cancellations.read(clock())  # it has read the records
 
 
 def test_a_leader_that_lost_state_service_and_peers_sends_its_workers_away(node, clock):
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,653 @@
+"""A small world on one fake clock: nodes, state service, cloud, workers and users, after PROTOCOL.
+
+Scenarios bring about meetings of troubles and assert the platform's rules themselves: what is on which
+machine when, and what users were told. Nothing here waits: the event loop's time is the fake clock.
+"""
+
+import asyncio
+import json
+import random
+import selectors
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import cbor2
+from conftest import description
+
+from hookwall.client import NoAnswer
+from hookwall.node import Node
+from hookwall.settings import Cloud, External, Params, Seed, Settings, State, Team, Workers
+
+STEP_S = 0.1
+WIRE_S = 0.002
+
+
+def path(url: str) -> str:
+    """The path of `http://host:port/path`."""
+    return "/" + url.split("/", 3)[3]
+
+
+class VirtualSelector(selectors.SelectSelector):
+    """Instead of waiting, time moves on."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+
+    def select(self, timeout=None):
+        assert timeout is not None, "everything waits for something that never comes"
+        self.now += max(0.0, timeout)
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self.virtual = VirtualSelector()
+        super().__init__(self.virtual)
+
+    def time(self) -> float:
+        return self.virtual.now
+
+
+class StateService:
+    """Keys, holds, watches and transactions, with outages, refusals, cuts and late writes."""
+
+    def __init__(self, world: "World") -> None:
+        self.world = world
+        self.keys: dict[str, tuple[Any, int, int | None]] = {}
+        self.epoch = 0
+        self.log: list[tuple[int, dict]] = []
+        self.holds: dict[int, list[float]] = {}
+        self.serial = 0
+        self.down = False
+        self.refused: set[str] = set()  # nodes that get 503
+        self.cut: set[str] = set()  # nodes whose requests get no answer
+        self.late: Callable[[str, dict], float | None] = lambda node, body: None
+        self.latency_s = 0.004
+        self.on_scan: Callable[[str], None] = lambda node: None
+
+    def tick(self, now: float) -> None:
+        if self.down:
+            return
+        for hold, (_, until) in list(self.holds.items()):
+            if now > until:
+                self.end_hold(hold)
+
+    def end_hold(self, hold: int) -> None:
+        del self.holds[hold]
+        self.epoch += 1
+        for k in [k for k, v in self.keys.items() if v[2] == hold]:
+            del self.keys[k]
+            self.log.append((self.epoch, {"delete": k, "stamp": self.epoch}))
+
+    def outage(self, on: bool) -> None:
+        self.down = on
+        if not on:
+            for h in self.holds.values():
+                h[1] = self.world.now() + h[0]
+
+    def blocked(self, node: str) -> bool:
+        return self.down or node in self.refused
+
+    async def call(self, node: str, method: str, path: str, body: Any, timeout: float) -> tuple[int, bytes]:
+        body = json.loads(json.dumps(body)) if body is not None else None
+        await asyncio.sleep(self.latency_s / 2)
+        if node in self.cut:
+            await asyncio.sleep(timeout)
+            raise NoAnswer("cut")
+        if self.blocked(node):
+            return 503, b"{}"
+        if path == "/commit":
+            after = self.late(node, body)
+            if after is not None:
+                asyncio.get_running_loop().call_later(after, self.commit, body)
+                await asyncio.sleep(timeout)
+                raise NoAnswer("late")
+        if path.startswith("/changes"):
+            status, out = await self.watch(node, path, timeout)
+        else:
+            status, out = self.answer(node, method, path, body)
+        await asyncio.sleep(self.latency_s / 2)
+        if node in self.cut:
+            await asyncio.sleep(timeout)
+            raise NoAnswer("cut")
+        return status, json.dumps(out).encode()
+
+    def answer(self, node: str, method: str, path: str, body: Any) -> tuple[int, dict]:
+        if path == "/commit":
+            return self.commit(body)
+        if path == "/holds":
+            self.serial += 1
+            ttl = body["ttlMs"] / 1000
+            self.holds[self.serial] = [ttl, self.world.now() + ttl]
+            return 200, {"hold": self.serial}
+        if path.startswith("/holds/"):
+            hold = int(path.split("/")[2])
+            if hold not in self.holds:
+                return 404, {}
+            if method == "DELETE":
+                self.end_hold(hold)
+            else:
+                self.holds[hold][1] = self.world.now() + self.holds[hold][0]
+            return 200, {}
+        if path.startswith("/store?"):
+            self.on_scan(node)
+            entries = [{"k": k, "value": v, "stamp": s} for k, (v, s, _) in sorted(self.keys.items())]
+            return 200, {"entries": entries, "more": False, "epoch": self.epoch}
+        got = self.keys.get(path[len("/store/") :])
+        return (404, {"epoch": self.epoch}) if got is None else (200, {"value": got[0], "stamp": got[1]})
+
+    def commit(self, body: dict) -> tuple[int, dict]:
+        failed = [c["k"] for c in body["when"] if self.keys.get(c["k"], (None, 0, None))[1] != c["stamp"]]
+        if any("hold" in a and a["hold"] not in self.holds for a in body.get("apply", ())):
+            return 400, {"error": "no such lease"}
+        if failed:
+            return 409, {"failed": failed, "epoch": self.epoch}
+        if body.get("apply"):
+            self.epoch += 1
+        for a in body.get("apply", ()):
+            self.keys[a["set"]] = (a["value"], self.epoch, a.get("hold"))
+            self.log.append((self.epoch, {"set": a["set"], "value": a["value"], "stamp": self.epoch}))
+        return 200, {"epoch": self.epoch}
+
+    async def watch(self, node: str, path: str, timeout: float) -> tuple[int, dict]:
+        args = dict(a.split("=") for a in path.partition("?")[2].split("&"))
+        after, until = int(args["after"]), self.world.now() + int(args["blockMs"]) / 1000
+        give_up = self.world.now() + timeout
+        while True:
+            changes = [c for e, c in self.log if e > after]
+            if not self.blocked(node) and (changes or self.world.now() >= until):
+                return 200, {"epoch": self.epoch, "log": changes}
+            if self.world.now() >= give_up:
+                raise NoAnswer("watch")
+            await asyncio.sleep(0.05)
+
+
+class CloudApi:
+    """Machine list, rentals and deletions."""
+
+    def __init__(self, world: "World") -> None:
+        self.world = world
+        self.down = False
+        self.room = 0  # machines that can still be rented
+        self.deleted: list[str] = []
+
+    async def call(self, node: str, method: str, path: str, body: Any, timeout: float) -> tuple[int, bytes]:
+        await asyncio.sleep(0.05)
+        if self.down:
+            return 503, b'{"error":"trouble"}'
+        w = self.world
+        if path == "/catalog":
+            return 200, w.catalog
+        if path == "/hosts/delete":
+            for name in body["hosts"]:
+                if name in w.workers:
+                    self.deleted.append(name)
+                    w.workers.pop(name).gone()
+            return 200, b"{}"
+        if method == "POST":
+            n = min(body["count"], self.room)
+            self.room -= n
+            if not n:
+                return 503, b'{"error":"no capacity"}'
+            names = [w.machine(body["yard"], body["loaners"], 10.0).name for _ in range(n)]
+            return 200, json.dumps({"hosts": names}).encode()
+        listed = [
+            {"ref": m.name, "hull": "g4", "yard": m.zone, "loaners": m.spot, "phase": m.listed(), "heldS": 60.0}
+            for m in w.workers.values()
+        ]
+        return 200, json.dumps({"hosts": listed, "more": False}).encode()
+
+
+@dataclass
+class Task:
+    attempt: int
+    phase: str
+    since: float
+    cause: str | None = None
+    stopped: float | None = None
+
+    def there(self) -> bool:
+        """On its machine, as rules count it."""
+        return self.phase in ("waiting", "running", "saving")
+
+
+@dataclass
+class Worker:
+    """One machine's worker."""
+
+    world: "World"
+    name: str
+    zone: str
+    spot: bool
+    boot_s: float = 0.0
+    tenure: int = 1
+    tick: int = 0
+    token: int = 0
+    node: int = 0
+    tasks: dict[str, Task] = field(default_factory=dict)
+    lease_from: float = 0.0
+    hung: bool = False
+    mute: bool = False  # reaches no node
+    deaf: bool = False  # its reports arrive, answers don't reach it
+    off: bool = False
+    changed: bool = False
+    to_forget: set[str] = field(default_factory=set)
+    sent: list[bytes] = field(default_factory=list)  # reports, for late copies
+    reached: Callable[[str], bool] = lambda node: True
+
+    def listed(self) -> str:
+        return "booting" if self.world.now() < self.lease_from else "running"
+
+    def gone(self) -> None:
+        self.off = True
+        for task in self.tasks.values():
+            task.phase = "exited"
+        self.tasks.clear()
+
+    def report(self) -> bytes:
+        self.tick += 1
+        pieces = [
+            {"piece": p, "try": t.attempt, "phase": t.phase, **({"cause": t.cause} if t.cause else {})}
+            for p, t in self.tasks.items()
+        ]
+        return json.dumps(
+            {"host": self.name, "hull": "g4", "yard": self.zone, "loaners": self.spot, "tenure": self.tenure,
+             "tick": self.tick, "mandate": self.token, "recallS": None, "pieces": pieces}
+        ).encode()  # fmt: skip
+
+    async def run(self) -> None:
+        w = self.world
+        await asyncio.sleep(self.boot_s + w.random.random())
+        self.lease_from = w.now()
+        last = -1e9
+        while not self.off:
+            await asyncio.sleep(STEP_S)
+            due = w.params.workers.report_s * w.random.uniform(0.75, 1.25)
+            if self.hung or w.now() - last < (0.5 if self.changed else due):
+                continue
+            last, self.changed = w.now(), False
+            await self.ask()
+
+    async def ask(self) -> None:
+        """One report and its answer."""
+        w, sent, tenure = self.world, self.world.now(), self.tenure
+        body = self.report()
+        self.sent.append(body)
+        name = w.names[self.node]
+        answer = None
+        if self.mute or not self.reached(name):
+            await asyncio.sleep(4.0)
+        else:
+            await asyncio.sleep(WIRE_S)
+            answer = await w.beat(name, body)
+            await asyncio.sleep(WIRE_S)
+            if self.deaf:
+                await asyncio.sleep(4.0)
+                answer = None
+        while self.hung:
+            await asyncio.sleep(STEP_S)
+        if self.off:
+            return
+        status, raw = answer if answer is not None and w.now() - sent < 4.0 else (0, b"{}")
+        got = json.loads(raw)
+        if status == 200:
+            if got.get("mandate", -1) < self.token or tenure != self.tenure:
+                return
+            if got["mandate"] > self.token:
+                self.token, self.changed = got["mandate"], True
+            self.lease_from = sent
+            self.command(got["orders"])
+        elif status == 421 and got.get("overseer") in w.names and got["overseer"] != name:
+            self.node = w.names.index(got["overseer"])
+            self.changed = True
+        else:
+            await asyncio.sleep(1.0)
+            self.node = (self.node + 1) % len(w.names)
+            self.changed = True
+
+    def command(self, orders: list[dict]) -> None:
+        w = self.world
+        for o in orders:
+            piece, task = o["piece"], self.tasks.get(o["piece"])
+            if o["verb"] == "launch":
+                if task is None:
+                    self.tasks[piece] = Task(o["try"], "pulling", w.now())
+                elif task.attempt != o["try"]:
+                    w.broken.append(f"in_use: {piece} try {o['try']} on {self.name}")
+            elif task is not None and task.attempt == o["try"]:
+                if o["verb"] == "forget" and task.phase == "exited":
+                    del self.tasks[piece]
+                elif o["verb"] == "stop" and task.phase != "exited":
+                    self.exit(task, "halted")
+            self.changed = True
+
+    def exit(self, task: Task, cause: str) -> None:
+        task.phase, task.cause = "exited", cause
+        self.changed = True
+
+    def step(self, now: float) -> None:
+        """Progress of tasks, and the lease."""
+        if self.hung or self.lease_from == 0.0 or now < self.lease_from:
+            return
+        if now > self.lease_from + self.world.params.workers.lease_s:
+            for task in self.tasks.values():
+                task.phase = "exited"
+            self.tasks.clear()
+            self.tenure += 1
+            self.lease_from = now
+            self.changed = True
+        for piece, task in self.tasks.items():
+            self.world.progress(self, piece, task, now)
+
+
+@dataclass
+class JobFacts:
+    """What is true of a job, and what its user was told."""
+
+    spec: dict
+    run_s: float
+    ends: dict[int, float] = field(default_factory=dict)  # run time of single tasks, where it differs
+    accepted: bool = False
+    cancelled_at: float | None = None
+    asked_to_cancel: bool = False
+    final: str | None = None
+    done: set[int] = field(default_factory=set)
+    starts: int = 0
+    late_starts: int = 0
+    first_start: float | None = None
+
+
+class World:
+    """Everything together; `broken` lists the rules that did not hold."""
+
+    def __init__(self, nodes: int = 3, **limits: Any) -> None:
+        self.random = random.Random(7)
+        random.seed(7)
+        self.loop = asyncio.get_running_loop()
+        self.params = Params(
+            size=nodes,
+            zones=["east", "west"],
+            workers=Workers(report_s=2.0, lease_s=12.0, gang_wait_s=40.0, gang_peer_s=8.0, cancel_s=37.0),
+            state=State(rps=150.0, write_rps=50.0, value_kb=16.0, txn_ops=12),
+            cloud=Cloud(rps=2.0, list_lag_s=5.0),
+            teams=limits.get("teams", [Team("red", gpus=8.0, gpus_max=8.0), Team("grey")]),
+        )
+        self.catalog = json.dumps(
+            {"hulls": [{"label": "g4", "cores": 32, "cards": 4, "memGb": 256, "localGb": 40, "pullGbPerS": 5.0,
+                        "price": 10.0, "spotPrice": 4.0, "startupS": 10, "yards": ["east", "west"]}]}
+        ).encode()  # fmt: skip
+        self.names = [f"n{i}" for i in range(nodes)]
+        self.nodes: dict[str, Node] = {}
+        self.running: dict[str, asyncio.Task] = {}
+        self.service, self.cloud = StateService(self), CloudApi(self)
+        self.workers: dict[str, Worker] = {}
+        self.jobs: dict[str, JobFacts] = {}
+        self.broken: list[str] = []
+        self.apart: set[frozenset[str]] = set()  # pairs of nodes that don't reach each other
+        self.serial = 0
+        self.beside: set[asyncio.Task] = set()
+        self.go(self._steps())
+
+    def now(self) -> float:
+        return self.loop.time()
+
+    def go(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        task = self.loop.create_task(work)
+        self.beside.add(task)
+        task.add_done_callback(self.beside.discard)
+        return task
+
+    async def _steps(self) -> None:
+        while True:
+            await asyncio.sleep(STEP_S)
+            now = self.now()
+            self.service.tick(now)
+            for worker in list(self.workers.values()):
+                worker.step(now)
+            self._check(now)
+
+    # -- nodes -----------------------------------------------------------------------------------
+
+    def start(self, name: str) -> Node:
+        seeds = [Seed(n, f"127.0.0.1:{7000 + i}") for i, n in enumerate(self.names) if n != name]
+        services = External("127.0.0.1:1", "127.0.0.1:2")
+        settings = Settings(name, "127.0.0.1:7100", "127.0.0.1:7200", services, self.params, seeds)
+        node = Node(settings, self.now, self.now)
+        node.store.call = lambda session, method, url, body, t: self.service.call(name, method, path(url), body, t)
+        node.client.call = lambda session, method, url, body, t: self.cloud.call(name, method, path(url), body, t)
+        node.leadership.peers = [Link(self, name, n) for n in self.names if n != name]
+        self.nodes[name] = node
+        self.running[name] = self.go(node.work())
+        return node
+
+    def crash(self, name: str) -> None:
+        self.running.pop(name).cancel()
+        node = self.nodes.pop(name)
+        for task in node.leadership.beside:
+            task.cancel()
+
+    def leader(self) -> Node | None:
+        return next((n for n in self.nodes.values() if n.leadership.valid()), None)
+
+    async def led(self, within_s: float = 20.0) -> Node:
+        until = self.now() + within_s
+        while self.leader() is None:
+            assert self.now() < until, "nobody leads"
+            await asyncio.sleep(STEP_S)
+        return self.leader()
+
+    def followers(self) -> list[str]:
+        lead = self.leader()
+        return [n for n, node in self.nodes.items() if node is not lead]
+
+    async def beat(self, name: str, body: bytes) -> tuple[int, bytes] | None:
+        node = self.nodes.get(name)
+        return await node.beat(body) if node is not None else None
+
+    # -- machines --------------------------------------------------------------------------------
+
+    def machine(self, zone: str = "east", spot: bool = False, boot_s: float = 0.0) -> Worker:
+        self.serial += 1
+        worker = Worker(self, f"vm-{self.serial:06d}", zone, spot, boot_s, node=self.serial % len(self.names))
+        worker.lease_from = self.now() + boot_s
+        self.workers[worker.name] = worker
+        self.go(worker.run())
+        return worker
+
+    def progress(self, worker: Worker, piece: str, task: Task, now: float) -> None:
+        ref, _, number = piece.rpartition("/")
+        job = self.jobs[ref]
+        gang = job.spec["shape"] == "ensemble"
+        if task.phase == "pulling" and now - task.since >= 1.0:
+            self._starts(worker, piece, task, job, now)
+            task.phase, task.since = ("waiting" if gang else "running"), now
+            worker.changed = True
+        if task.phase == "waiting" and self._mates(ref, task.attempt, ("waiting", "running")) == job.spec["pieces"]:
+            task.phase, task.since = "running", now
+            worker.changed = True
+        if task.phase == "waiting" and now - task.since > self.params.workers.gang_wait_s:
+            worker.exit(task, "alone")
+        elif task.phase == "running" and now - task.since >= job.ends.get(int(number), job.run_s):
+            job.done.update(range(job.spec["pieces"]) if gang else [int(number)])
+            worker.exit(task, "done")
+        elif task.phase == "running" and gang and len(job.done) < job.spec["pieces"]:
+            if self._mates(ref, task.attempt, ("waiting", "running")) == job.spec["pieces"]:
+                task.stopped = None
+            elif task.stopped is None:
+                task.stopped = now
+            elif now - task.stopped > self.params.workers.gang_peer_s:
+                worker.exit(task, "mates_gone")
+
+    def _mates(self, ref: str, attempt: int, phases: tuple[str, ...]) -> int:
+        return sum(
+            p.rpartition("/")[0] == ref and t.attempt == attempt and t.phase in phases
+            for w in self.workers.values() for p, t in w.tasks.items()
+        )  # fmt: skip
+
+    # -- rules -----------------------------------------------------------------------------------
+
+    def _starts(self, worker: Worker, piece: str, task: Task, job: JobFacts, now: float) -> None:
+        ref = piece.rpartition("/")[0]
+        job.starts += 1
+        job.first_start = now if job.first_start is None else job.first_start
+        there = [(w, p) for w in self.workers.values() for p, t in w.tasks.items() if t.there() and self._holds(w, now)]
+        for other, p in there:
+            if p == piece and other is not worker:
+                self.broken.append(f"ran_twice: {piece} on {other.name} and {worker.name} at {now:.1f}")
+        spec = job.spec
+        zones = {w.zone for w, p in there if p.rpartition("/")[0] == ref}
+        if (spec["samePlace"] and zones - {worker.zone}) or (spec["yard"] not in (None, worker.zone)):
+            self.broken.append(f"wrong_place: {piece} in {worker.zone}, others in {zones}")
+        if worker.spot and not spec["loaners"]:
+            self.broken.append(f"wrong_place: {piece} on a spot machine")
+        team = next(t for t in self.params.teams if t.name == spec["owner"])
+        used = spec["cards"] + sum(
+            self.jobs[p.rpartition("/")[0]].spec["cards"]
+            for _, p in there if self.jobs[p.rpartition("/")[0]].spec["owner"] == team.name
+        )  # fmt: skip
+        if team.gpus_max and used > team.gpus_max + 1e-9:
+            self.broken.append(f"quota: {team.name} uses {used}")
+        if job.cancelled_at is not None:
+            job.late_starts += 1
+
+    def _holds(self, worker: Worker, now: float) -> bool:
+        """Whether a worker may still run what it has: one that hangs ends its tasks first once its lease is over."""
+        return now <= worker.lease_from + self.params.workers.lease_s
+
+    def _check(self, now: float) -> None:
+        for worker in self.workers.values():
+            for piece, task in worker.tasks.items():
+                at = self.jobs[piece.rpartition("/")[0]].cancelled_at
+                if at is not None and task.there() and now - at > self.params.workers.cancel_s:
+                    self.broken.append(f"ran_cancelled: {piece} on {worker.name} {now - at:.1f} s later")
+                    self.jobs[piece.rpartition("/")[0]].cancelled_at = None  # told once
+
+    def on_machines(self, ref: str) -> int:
+        return sum(
+            p.rpartition("/")[0] == ref and t.phase != "exited"
+            for w in self.workers.values()
+            for p, t in w.tasks.items()
+        )
+
+    # -- users -----------------------------------------------------------------------------------
+
+    def _told(self, ref: str, status: int, raw: bytes) -> None:
+        job = self.jobs.get(ref)
+        if status == 404 and job is not None and job.accepted:
+            self.broken.append(f"forgotten: {ref} answered 404")
+        if status in (400, 422) and job is not None and job.accepted:
+            self.broken.append(f"forgotten: {ref} answered {status}")
+        if status not in (200, 201):
+            return
+        phase = json.loads(raw)["phase"]
+        if job is None:
+            self.broken.append(f"invented: {ref}")
+            return
+        job.accepted = True
+        if job.final is not None and phase != job.final:
+            self.broken.append(f"went_back: {ref} {job.final} then {phase}")
+        if phase == "done" and len(job.done) < job.spec["pieces"]:
+            self.broken.append(f"not_done: {ref} with {len(job.done)}")
+        if phase == "withdrawn":
+            if not job.asked_to_cancel:
+                self.broken.append(f"went_back: {ref} cancelled by nobody")
+            if job.cancelled_at is None and job.final is None:
+                job.cancelled_at = self.now()
+        if phase in ("done", "withdrawn"):
+            job.final = phase
+
+    def job(self, n: int, run_s: float = 30.0, ends: dict[int, float] | None = None, **changes: Any) -> str:
+        spec = description(n, **changes)
+        self.jobs[spec["ref"]] = JobFacts(spec, run_s, ends or {})
+        return spec["ref"]
+
+    async def submit(self, node: str, ref: str) -> int:
+        status, raw, _ = await self.nodes[node].api.submit(json.dumps(self.jobs[ref].spec).encode())
+        self._told(ref, status, raw)
+        return status
+
+    async def poll(self, node: str, ref: str) -> tuple[int, str]:
+        status, raw, _ = await self.nodes[node].api.get(ref)
+        self._told(ref, status, raw)
+        return status, json.loads(raw).get("phase", "")
+
+    async def cancel(self, node: str, ref: str) -> tuple[int, str]:
+        if ref in self.jobs:
+            self.jobs[ref].asked_to_cancel = True
+        status, raw, _ = await self.nodes[node].api.cancel(ref)
+        self._told(ref, status, raw)
+        return status, json.loads(raw).get("phase", "")
+
+    async def accepted(self, ref: str, node: str | None = None, within_s: float = 20.0) -> None:
+        until = self.now() + within_s
+        while await self.submit(node or next(iter(self.nodes)), ref) not in (200, 201):
+            assert self.now() < until, f"{ref} was not accepted"
+            await asyncio.sleep(1.0)
+
+    async def until(self, what: Callable[[], bool], within_s: float, why: str) -> None:
+        end = self.now() + within_s
+        while not what():
+            assert self.now() < end, why
+            await asyncio.sleep(STEP_S)
+
+    async def runs(self, ref: str, within_s: float = 30.0) -> None:
+        n = self.jobs[ref].spec["pieces"]
+
+        def all_run() -> bool:
+            return n == sum(
+                p.rpartition("/")[0] == ref and t.phase == "running"
+                for w in self.workers.values() for p, t in w.tasks.items()
+            )  # fmt: skip
+
+        await self.until(all_run, within_s, f"{ref} does not run")
+
+
+class Link:
+    """One node's messages to another."""
+
+    def __init__(self, world: World, me: str, name: str) -> None:
+        self.world, self.me, self.name = world, me, name
+        self.delay_s = WIRE_S
+
+    async def call(self, message: dict, timeout: float = 1.0) -> dict | None:
+        if frozenset((self.me, self.name)) in self.world.apart:
+            await asyncio.sleep(timeout)
+            return None
+        sent = cbor2.dumps(message)
+        await asyncio.sleep(self.delay_s)
+        node = self.world.nodes.get(self.name)
+        if node is None:
+            return None
+        answer = cbor2.dumps(node.leadership.handle(cbor2.loads(sent)))
+        await asyncio.sleep(self.delay_s)
+        return cbor2.loads(answer)
+
+
+def play(scenario: Callable[[World], Coroutine[Any, Any, Any]], machines: int = 4, **limits: Any) -> World:
+    """Run a scenario in a world whose nodes have a leader and whose machines report; no rule may break."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+
+    async def main() -> World:
+        world = World(**limits)
+        for i in range(machines):
+            world.machine("east" if i % 2 == 0 else "west")
+        for name in world.names:
+            world.start(name)
+        await world.led()
+        await asyncio.sleep(6.0)
+        await scenario(world)
+        return world
+
+    try:
+        world = loop.run_until_complete(main())
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        asyncio.set_event_loop(None)
+        loop.close()
+    assert world.broken == []
+    return world
