--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -20,7 +20,7 @@
 from hookwall.clocks import DRIFT
 from hookwall.jobs import OPEN, WITHDRAWN, Active, Job, JobTable
 from hookwall.keeper import Kept
-from hookwall.placement import Room
+from hookwall.placement import NOWHERE, Room
 from hookwall.settings import Params
 from hookwall.wire import Beat, Catalog, MachineType, Order
 
@@ -211,6 +211,11 @@
                 m.room = None
         return m
 
+    def zone_of(self, name: str) -> int:
+        """The zone of a machine, or NOWHERE while only records name it."""
+        m = self.machines.get(name)
+        return m.zone if m is not None and self.zones.names[m.zone] else NOWHERE
+
     def room(self, m: Machine) -> Room:
         """What is free on the machine. Kept until something there changes: rounds are many, changes few."""
         if m.room is not None:
@@ -470,6 +475,7 @@
         """A task failed: either the machine is faulty, or the job fails wherever it runs."""
         now = self.clock()
         job.errors[m.name] = job.errors.get(m.name, 0) + 1
+        job.failed_at = now
         elsewhere = len(job.errors)
         if elsewhere >= 3:
             # Three machines have failed it; more tries cost others their machines.
--- a/hookwall/jobs.py
+++ b/hookwall/jobs.py
@@ -87,6 +87,7 @@
         "dirty_at",
         "done",
         "errors",
+        "failed_at",
         "fresh",
         "image",
         "n_done",
@@ -131,6 +132,7 @@
         self.parked: tuple[object, int] | None = None  # a change seen while a write is under way
         self.cursor = 0
         self.errors: dict[str, int] = {}
+        self.failed_at = -1e9  # when a task of it last failed
         self.not_before = -1e9
         self.image = self.team = self.rank = -1
         self.types: frozenset[int] | None = None
--- a/hookwall/placement.py
+++ b/hookwall/placement.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field, replace
 
 EPS = 1e-6
+NOWHERE = -1  # the zone of a machine that only records name
 
 
 @dataclass(slots=True)
@@ -31,7 +32,7 @@
 
 @dataclass(slots=True)
 class Ask:
-    """What one job wants now. `in_zone` counts its tasks that may already be somewhere."""
+    """What one job wants now. `in_zone` counts its tasks that may already be somewhere; where is not known: NOWHERE."""
 
     count: int
     total: int
@@ -85,8 +86,12 @@
 
 
 def _caps(ask: Ask) -> tuple[int, dict[int, int]]:
-    """For `spread`: how many tasks one zone may hold, and how many more each zone used so far may."""
-    top = (ask.total + 1) // 2
+    """For `spread`: how many more tasks a zone without any may hold, and how many each zone used so far may.
+
+    A task on a machine whose zone is not known yet counts in every zone. It counted as a zone of its own,
+    so after a change of leader more than half of a job could come to one zone.
+    """
+    top = (ask.total + 1) // 2 - ask.in_zone.get(NOWHERE, 0)
     return top, {z: top - n for z, n in ask.in_zone.items()}
 
 
@@ -175,7 +180,7 @@
     used = dict(ask.in_zone)
     free = {r.index: units(ask, r) for r in rooms}
     taken: dict[int, int] = {}
-    top = (ask.total + 1) // 2 if ask.spread else ask.total
+    top = _caps(ask)[0] if ask.spread else ask.total
     for _ in range(ask.count):
         held = [z for z, n in used.items() if n > 0]
         best: tuple[tuple[object, ...], Room] | None = None
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -28,7 +28,8 @@
 DECLINE = 0.35  # of the time of a fetch, a job leaves machines without its image to others
 DECLINE_ARRAY = 0.7
 DECLINE_GANG = 1.2  # for gangs of several tasks
-STARVES_S = 60.0
+STARVES_S = 60.0  # so long without anything, a job leaves nothing to others any more
+IDLES_S = 60.0  # and may have room that has been reserved in vain for as long
 SETTLED_S = 30.0  # a start that lasts this long counts for its user
 
 
@@ -114,6 +115,7 @@
         self.whole_rank = self.last_whole_rank = -1
         self.lowest_rank = -1  # of the work that is on machines
         self.kept_at = -1e9
+        self.reserved: dict[int, tuple[float, float]] = {}  # machine -> reserved since, and seen so last
         self.value_bytes = params.state.value_kb * 1024
         self.last_start: dict[str, float] = {}  # when a class is expected to have begun at the latest
         for o in params.objectives:
@@ -206,21 +208,23 @@
             start = next((i for i, q in enumerate(queue) if q[0] >= self.resume), 0)
         p = self.picture(now)
         self._keep(p)
-        self.resume = None
+        self.resume = self._serve_all(queue[start:], p, firm, now)
+        self._follow_reserved(p, now)
+        return self.resume is not None or start > 0
+
+    def _serve_all(self, queue: list[tuple[tuple, Job]], p: Picture, firm: set[str], now: float) -> tuple | None:
+        """Serve jobs in order while there is time; the key of the one to go on with, or None."""
         fresh = self.fresh_count()
-        for i in range(start, len(queue)):
-            key, job = queue[i]
-            if i > start and self.clock() - now > ROUND_BUDGET_S:
-                self.resume = key
-                log.debug("round out of time after %d of %d jobs", i - start, len(queue))
-                return True
+        for i, (key, job) in enumerate(queue):
+            if i > 0 and self.clock() - now > ROUND_BUDGET_S:
+                log.debug("round out of time after %d of %d jobs", i, len(queue))
+                return key
             if fresh > MOST_FRESH:
-                self.resume = key
-                return True
+                return key
             was = job.fresh
             self._serve(job, p, job.ref in firm, now)
             fresh += job.fresh and not was
-        return start > 0
+        return None
 
     def _tidy(self, now: float) -> None:
         """Finish jobs whose tasks are all done; end what is left of broken gangs."""
@@ -239,8 +243,7 @@
         in_zone: dict[int, int] = {}
         if spec.one_zone or spec.spread or spec.service:
             for a in job.active.values():
-                m = self.fleet.machines.get(a.machine)
-                zone = m.zone if m is not None else -1
+                zone = self.fleet.zone_of(a.machine)
                 in_zone[zone] = in_zone.get(zone, 0) + 1
         return Ask(
             count, job.tasks, spec.gang, spec.cpus, spec.gpus, spec.memory, job.image, job.types, job.zone,
@@ -257,10 +260,13 @@
             return
         count = min(count, allowed)
         ask = self.ask(job, count)
+        starves = self._starves(job, now)
+        # Not for ever: the machine may be the only one, and what was wrong with it may be over.
+        shuns = job.errors and now - job.failed_at < STARVES_S
         rooms = [
             r for i, r in p.may_fit(spec.gpus).items()
-            if p.held.get(i, job.ref) == job.ref
-            and not (job.errors and job.errors.get(self.fleet.by_index[i].name, 0) >= 2)
+            if (p.held.get(i, job.ref) == job.ref or (starves and self._idles(i, now)))
+            and not (shuns and job.errors.get(self.fleet.by_index[i].name, 0) >= 2)
         ]  # fmt: skip
         if not spec.gang:
             rooms = self._uncontested(job, rooms, p, now)
@@ -281,6 +287,7 @@
                     self.fleet.put(job, task, m, attempt, now)
                 at += n
                 self._take(p, index, job, n)
+                self.reserved.pop(index, None)
                 if m.held_for == job.ref:
                     m.held_for = ""
                     p.held.pop(index, None)
@@ -312,8 +319,9 @@
         self, job: Job, ask: Ask, p: Picture, rooms: list[Room], firm: bool, now: float
     ) -> list[tuple[int, int]]:
         """HAS over the machines that the job may have; kept ones only if nothing else will do."""
-        if (p.kept or p.awaited) and job.rank <= self.whole_rank and not self._whole(job):
-            if ask.spot and not self._starves(job, now):
+        starves = self._starves(job, now)
+        if (p.kept or p.awaited) and not starves and job.rank <= self.whole_rank and not self._whole(job):
+            if ask.spot:
                 # Older arrays refilled each GPU of the machines that a gang waited for; they have the
                 # cheap ones and the rest, and gangs have nothing else.
                 rooms = [r for r in rooms if r.index not in p.awaited]
@@ -322,6 +330,18 @@
                 return got
         return place(ask, rooms)
 
+    def _idles(self, index: int, now: float) -> bool:
+        """Whether a machine has been reserved for long and got nothing: whoever it waits for, others starve."""
+        since, _ = self.reserved.get(index, (now, now))
+        return now - since > IDLES_S
+
+    def _follow_reserved(self, p: Picture, now: float) -> None:
+        """Since when each machine is kept from others. A round that runs out of time does not see all."""
+        for index in p.held:
+            since, _ = self.reserved.get(index, (now, now))
+            self.reserved[index] = (since, now)
+        self.reserved = {i: r for i, r in self.reserved.items() if now - r[1] < 5.0}
+
     def _starves(self, job: Job, now: float) -> bool:
         """Whether a job has had nothing for so long that it need not leave machines to gangs any more."""
         w = self.waiting.get(job.ref)
@@ -367,6 +387,8 @@
         counted by the time of day at which it came, since a new leader has seen nothing wait yet.
         """
         assert w.job.spec is not None
+        if now - w.served > STARVES_S:
+            return False
         if self.wall() - w.job.at + fetch > self.last_start.get(w.job.spec.job_class, math.inf):
             return False
         if w.declined < 0:
