--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,5 +1,7 @@
 """Rounds: order, limits, preemption, and the time budget."""
 
+import msgspec
+
 from hookwall import scheduler as sched
 
 
@@ -335,3 +337,77 @@
         up(cluster, "vm-1")
         cluster.scheduler.round()
     assert len(old.active) == 4, "the gang lacks a second machine, and the array starved"
+
+
+def test_a_job_that_starves_takes_machines_that_are_kept_for_gangs_to_come(cluster):
+    """Nobody has a guarantee here, so an array waited for as long as gangs might come, beside idle machines."""
+    up(cluster, "vm-1", "vm-2")
+    gang = cluster.submit(1, shape="ensemble", cards=4.0)
+    for _ in range(60):
+        cluster.clock.tick(5.0)
+        up(cluster, "vm-1", "vm-2")
+        cluster.scheduler.round()
+    assert len(gang.active) == 1
+    array = cluster.submit(2, pieces=4)
+    cluster.scheduler.round()
+    assert not array.active
+    for _ in range(44):
+        cluster.clock.tick(2.0)
+        up(cluster, "vm-1", "vm-2")
+        cluster.scheduler.round()
+    assert len(array.active) == 4
+
+
+def test_what_is_reserved_in_vain_for_long_goes_to_a_job_that_starves(cluster):
+    """A gang waits for a second machine; the first stood idle for it, whoever else could have used it."""
+    up(cluster, "vm-1")
+    gang = cluster.submit(1, shape="ensemble", pieces=2, cards=4.0, rank="urgent")
+    cluster.scheduler.round()
+    cluster.clock.tick(2.0)
+    up(cluster, "vm-1")
+    cluster.scheduler.round()
+    later = cluster.submit(2, rank="low")
+    waited = 0.0
+    while not later.active:
+        cluster.scheduler.round()
+        cluster.clock.tick(2.0)
+        waited += 2.0
+        up(cluster, "vm-1")
+        assert waited < 90.0
+    assert waited > 50.0 and not gang.active
+
+
+def test_a_gang_that_starves_leaves_nothing_to_equals_whatever_the_fetch_takes(cluster):
+    first, second = queue_of_pairs(cluster)
+    first.spec = msgspec.structs.replace(first.spec, image_gb=100.0)  # 200 s to fetch
+    cluster.scheduler.waiting[first.ref].served = cluster.clock() - 61.0
+    cluster.scheduler.round()
+    assert len(first.active) == 2 and not second.active
+
+
+def test_a_machine_on_which_a_job_failed_twice_is_tried_again_later(cluster):
+    """It was the only one with room, and the job waited for as long as it was."""
+    up(cluster, "vm-1")
+    job = cluster.submit(1)
+    job.errors, job.failed_at = {"vm-1": 2}, cluster.clock()
+    cluster.scheduler.round()
+    assert not job.active
+    for _ in range(40):
+        cluster.clock.tick(2.0)
+        up(cluster, "vm-1")
+        cluster.scheduler.round()
+    assert len(job.active) == 1
+
+
+def test_tasks_on_machines_that_only_records_name_count_in_every_zone(cluster):
+    job = cluster.submit(1, pieces=4, spread=True)
+    record = {**job.record(), "on": [["vm-7", 1, 1, "0-1"]], "next": 2}
+    cluster.stamp += 1
+    cluster.table.apply("hookwall/job/" + job.ref, record, cluster.stamp)
+    up(cluster, "vm-1", zone="east")
+    up(cluster, "vm-2", zone="west")
+    cluster.scheduler.round()
+    assert len(job.active) == 2, "vm-7 may be in either zone, and each may have two tasks"
+    cluster.beat("vm-7", [(f"{job.ref}/{i}", 1, "running", None) for i in (0, 1)], zone="east")
+    cluster.scheduler.round()
+    assert {a.machine for a in job.active.values()} == {"vm-7", "vm-2"}
