--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -539,6 +539,8 @@
             elif m.phase is Phase.BOOTING:
                 if now - m.rented_at > 5.0 * boot and leading > 2 * lease and now - m.known_at > 3 * lease:
                     why = "it never came up"
+            elif m.doubtful:
+                why = "cancelled tasks may go on there"
             elif m.silent and leading > 2 * lease and now - m.heard_us_at > self._patience(m, cut):
                 why = "its worker is silent"
             elif m.phase is Phase.NOTICED and m.notice_at is not None and now > m.notice_at + 3.0 and m.silent:
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -65,6 +65,7 @@
 
     __slots__ = (
         "answered",
+        "doubtful",
         "entries",
         "error_jobs",
         "errors",
@@ -118,6 +119,7 @@
         self.hears = False  # whether its reports show that our answers reach it
         self.heard_us_at = -1e9  # when one last did
         self.silent = False
+        self.doubtful = False  # its lease ended with cancelled tasks there, and it has not been heard since
         self.room: Room | None = None  # what is free here; None: to be counted anew
         self.solid_at = -1e9  # when it last had work that can't go to cheap machines
 
@@ -334,6 +336,7 @@
             self.become(m, Phase.UP, f"reports after {now - m.known_at:.1f} s")
         self._listen(m, b, now)
         if b.tenure > m.tenure:
+            m.doubtful = False
             for job, a in list(m.entries.values()):
                 if a.tenure < b.tenure:
                     self.drop(job, a, "a later tenure")
@@ -520,6 +523,8 @@
                 continue
             if now - self.kept.heard(m.name) > self.lease_gone:
                 log.info("machine %s: lease is over, %d tasks gone", m.name, len(m.entries))
+                # A machine that hangs ends its tasks only when it goes on; cancelled ones must be gone before.
+                m.doubtful = m.doubtful or any(job.phase == WITHDRAWN for job, _ in m.entries.values())
                 self.drop_all(m, "the lease is over")
 
     def _quiet(self, m: Machine, now: float) -> bool:
--- /dev/null
+++ b/tests/test_cancellations.py
@@ -0,0 +1,146 @@
+"""Who may renew leases, and when a user may be told. The meetings of troubles are in test_meetings.py."""
+
+import asyncio
+
+import pytest
+
+from hookwall import cancellations as cn
+from hookwall import store as st
+from hookwall.cancellations import Cancellations
+from hookwall.leadership import PROMISE_S, Leadership, Mode, Role
+
+
+class Peers:
+    """Two peers that answer as told, and note what they hear."""
+
+    def __init__(self) -> None:
+        self.answers: dict[str, dict | None] = {"n1": None, "n2": None}
+        self.heard: list[dict] = []
+
+    def peer(self, name):
+        outer = self
+
+        class ScriptedPeer:
+            async def call(self, message, timeout=1.0):
+                outer.heard.append(message)
+                return outer.answers[self.name]
+
+        p = ScriptedPeer()
+        p.name = name
+        return p
+
+
+@pytest.fixture
+def peers():
+    return Peers()
+
+
+@pytest.fixture
+def node(params, state, clock, peers):
+    async def load():
+        return None
+
+    lead = Leadership("n0", 3, [peers.peer("n1"), peers.peer("n2")], state, clock, load, lambda role: None)
+    withdrawn: dict[str, int] = {}
+    c = Cancellations(params.workers, lead, state, clock, lambda: 50, withdrawn.__setitem__)
+    c.withdrawn = withdrawn
+    state.epoch = 20
+    state.keys[st.LEADER] = ({"node": "n1"}, 20)
+    lead.saw_key(*state.keys[st.LEADER])
+    return c
+
+
+def leads(node, clock):
+    lead = node.lead
+    lead.role, lead.mode, lead.hold_until, lead.acks = Role.LEADER, Mode.PROMISE, clock() + 60, {"n1": clock()}
+
+
+def test_no_lease_is_renewed_on_knowledge_that_is_too_old(node, clock, params):
+    w = params.workers
+    node.read(clock())
+    clock.tick(w.cancel_s - w.lease_s * 1.002 - cn.MARGIN_S - 0.1)
+    assert node.may_renew()
+    clock.tick(0.2)
+    assert not node.may_renew()
+    # An answer to a request that was sent long ago shows the records as they were then.
+    node.read(clock() - 26.5)
+    assert node.may_renew()
+    clock.tick(1.0)
+    assert not node.may_renew()
+
+
+def test_a_majority_of_complete_promises_keeps_a_leader_current_without_the_service(node, clock):
+    leads(node, clock)
+    node.read(clock() - 100.0)
+    node.on_reply("n1", clock(), {"cancelled": [], "complete": False})
+    assert not node.may_renew(), "a peer that has not read the records may have forgotten"
+    node.on_reply("n1", clock(), {"cancelled": [["run-000001", 33]], "complete": True})
+    assert node.may_renew() and node.withdrawn == {"run-000001": 33}
+    # Only for a leader with promises: under one in hold mode users are told without its peers.
+    node.lead.mode = Mode.HOLD
+    assert not node.may_renew()
+    node.lead.mode, node.lead.role = Mode.PROMISE, Role.FOLLOWER
+    assert not node.may_renew()
+
+
+def test_a_promise_names_what_the_leader_has_not_shown_to_know(node):
+    node.complete = True
+    node.learn("run-000001", 33)
+    node.learn("run-000002", 35)
+    assert node.reply({}) == {"cancelled": [("run-000001", 33), ("run-000002", 35)], "complete": True}
+    assert node.reply({"pos": 33})["cancelled"] == [("run-000002", 35)]
+    # A late copy with an older position brings nothing back, and takes nothing away.
+    assert node.reply({"pos": 30})["cancelled"] == [("run-000002", 35)]
+    node.learn("run-000001", 33)
+    assert node.reply({})["cancelled"] == [("run-000002", 35)]
+
+
+def test_more_than_a_message_holds_is_not_complete(node, monkeypatch):
+    monkeypatch.setattr(cn, "MOST_TOLD", 2)
+    node.complete = True
+    for n in range(3):
+        node.learn(f"run-{n}", 30 + n)
+    assert node.reply({})["complete"] is False
+
+
+def test_a_leader_says_its_position_only_while_it_is_valid(node, clock):
+    assert node.say() == {}
+    leads(node, clock)
+    assert node.say() == {"pos": 50}
+    clock.tick(PROMISE_S)
+    assert node.say() == {}
+
+
+@pytest.mark.parametrize(
+    ("one", "two", "told"),
+    [
+        (None, None, False),
+        ({"ok": True, "knows": True, "leads": False}, None, True),
+        ({"ok": True}, {"ok": False}, False),
+        ({"ok": True, "knows": True, "leads": True}, {"ok": False}, True),
+    ],
+)
+def test_a_user_is_told_once_the_leader_or_a_majority_knows(node, peers, one, two, told):
+    peers.answers.update(n1=one, n2=two)
+    assert asyncio.run(node.confirmed("run-000001", 33)) is told
+    assert [m["jobs"] for m in peers.heard] == [[["run-000001", 33]]] * 2
+
+
+def test_what_an_earlier_leader_read_needs_no_telling(node, peers):
+    node.settle(19)  # the leader key is 20
+    assert asyncio.run(node.confirmed("run-000001", 19)) is True and peers.heard == []
+    assert asyncio.run(node.confirmed("run-000001", 21)) is False
+
+
+def test_under_a_leader_by_hold_an_unchanged_key_is_enough(node, state):
+    node.lead.saw_key({"node": "n1", "mode": "hold"}, 25)
+    assert asyncio.run(node.confirmed("run-000001", 33)) is False, "the key is another"
+    state.keys[st.LEADER] = ({"node": "n1", "mode": "hold"}, 25)
+    assert asyncio.run(node.confirmed("run-000001", 33)) is True
+    state.mode = "down"
+    assert asyncio.run(node.confirmed("run-000002", 34)) is False
+
+
+@pytest.mark.parametrize("jobs", [None, 3, [[1, 2]], [["run-000001"]], ["run-000001", 33]])
+def test_nonsense_from_a_peer_is_survived(node, jobs):
+    assert node.on_told({"jobs": jobs})["knows"] and node.withdrawn == {}
--- a/tests/test_cloud.py
+++ b/tests/test_cloud.py
@@ -7,6 +7,7 @@
 from hookwall import wire
 from hookwall.cloud import NoCapacity, Renting, Trouble
 from hookwall.fleet import Phase
+from hookwall.jobs import WITHDRAWN
 
 
 class ScriptedCloud:
@@ -293,3 +294,22 @@
     renting.stuck = lambda: False
     renting.measure(cluster.clock())
     assert renting.targets.solid < 3.0
+
+
+def test_a_machine_whose_lease_ended_with_cancelled_tasks_is_deleted_before_they_could_go_on(cluster, renting):
+    """One that hangs has its tasks until it goes on, and an ordinary one is given the time to come back."""
+    for name in ("vm-1", "vm-2"):
+        cluster.beat(name)
+    off, other = cluster.submit(1, pieces=4), cluster.submit(2, pieces=4)
+    cluster.scheduler.round()
+    cluster.store()
+    at = {job.ref: job.active[0].machine for job in (off, other)}
+    cluster.table.withdraw(off.ref, cluster.stamp + 1)
+    assert off.phase == WITHDRAWN
+    cluster.clock.tick(13.0)
+    cluster.fleet.expire(cluster.clock())
+    assert [m.name for m in renting.to_return(cluster.clock())] == [at[off.ref]]
+    # One that is heard in a later session has nothing any more.
+    cluster.fleet.become(cluster.fleet.machines[at[off.ref]], Phase.UP, "back")
+    cluster.beat(at[off.ref], tenure=2, tick=1)
+    assert renting.to_return(cluster.clock()) == []
