--- a/hookwall/cli.py
+++ b/hookwall/cli.py
@@ -1,6 +1,7 @@
 """The command line. One command today; others of an operator's toolbox can stand beside it."""
 
 import argparse
+import gc
 import logging
 import os
 import sys
@@ -8,6 +9,8 @@
 from hookwall import __version__
 from hookwall.settings import BadSettings, load
 
+GC_EVERY = 10_000  # new objects
+
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
@@ -45,6 +48,11 @@
     async def main() -> None:
         await Node(settings).run()
 
+    # What was imported stays, and messages make no cycles: looking through all that every 700 objects finds nothing.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_EVERY)
+
     try:
         uvloop.run(main())
     except KeyboardInterrupt:
--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -107,6 +107,7 @@
 FIRM_Z = 3.0  # the same where a guarantee has to start sooner than a machine boots
 QUIET_S = 20.0  # without any job for this long, nothing stands ready
 KEEP_IDLE_S = 25.0
+MEASURE_EVERY_S = 1.0
 TRIM_AFTER_S = 30.0  # a new leader lets nothing go before it has seen this much
 DEAR = 2.5  # a pool is no substitute for another that costs so much less
 
@@ -491,7 +492,7 @@
                 fleet.become(m, Phase.UP, "needed again")
                 over_solid += not m.spot
                 over += 1
-        if wait_cheap:
+        if wait_cheap or over < 1 - 1e-6:
             return
         idle = []
         for m in fleet.machines.values():
@@ -524,8 +525,12 @@
         out: list[Machine] = []
         lease = self.params.workers.lease_s
         leading = now - self.began_at
-        cut = self._cut_zones(now)
+        cut: set[int] | None = None
         for m in self.fleet.machines.values():
+            if m.phase is Phase.UP and not (m.silent or m.failed or m.doubtful or m.up_at < 0):
+                continue  # as nearly all are
+            if cut is None:
+                cut = self._cut_zones(now)
             info = self.fleet.info(m.type)
             boot = info.boot_s if info is not None else 30.0
             why = ""
@@ -599,9 +604,10 @@
                         self.take_list(listed, self.clock())
                 if not valid():
                     continue
-                self.measure(self.clock())
-                if self.listed_once and now - self.began_at > TRIM_AFTER_S:
-                    self.trim(self.clock())
+                if now - self.measured_at >= MEASURE_EVERY_S:
+                    self.measure(self.clock())
+                    if self.listed_once and now - self.began_at > TRIM_AFTER_S:
+                        self.trim(self.clock())
                 gone = self.to_return(self.clock())[:MOST_PER_DELETE]
                 if gone:
                     await self.client.delete([m.name for m in gone])
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -84,6 +84,7 @@
         "ran_at",
         "rented_at",
         "room",
+        "said",
         "silent",
         "solid_at",
         "spot",
@@ -98,6 +99,7 @@
 
     def __init__(self, name: str, index: int, type_: int, zone: int, spot: bool, now: float) -> None:
         self.name, self.index, self.type, self.zone, self.spot = name, index, type_, zone, spot
+        self.said: tuple[str, str, bool] = ("", "", False)  # its type, zone and kind as last named
         self.phase = Phase.BOOTING
         self.known_at = self.rented_at = now
         self.up_at = -1.0
@@ -206,11 +208,11 @@
             m = Machine(name, len(self.by_index), self.types.of(type_), self.zones.of(zone), spot, self.clock())
             self.machines[name] = m
             self.by_index.append(m)
-        elif type_:
-            is_now = self.types.of(type_), self.zones.of(zone), spot
-            if is_now != (m.type, m.zone, m.spot):
-                m.type, m.zone, m.spot = is_now
-                m.room = None
+            m.said = (type_, zone, spot)
+        elif type_ and m.said != (type_, zone, spot):
+            m.type, m.zone, m.spot = self.types.of(type_), self.zones.of(zone), spot
+            m.said = (type_, zone, spot)
+            m.room = None
         return m
 
     def zone_of(self, name: str) -> int:
@@ -514,7 +516,11 @@
         """Machines whose worker can't have a lease any more have no tasks."""
         if self.began is None:
             return
+        soon = min(self.lease_gone, self.params.workers.report_s * 3)
         for m in list(self.machines.values()):
+            # Most were answered a moment ago: whatever could be over counts from later.
+            if now - m.answered <= soon and now - m.heard_us_at <= soon:
+                continue
             if not m.silent and self._quiet(m, now):
                 m.silent, m.hears = True, False
                 log.info("machine %s is silent", m.name)
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -182,6 +182,8 @@
         need = self.majority - 1
         if need == 0:
             return 1e18
+        if need == 1:  # of three nodes, as each report asks
+            return max(sent.values(), default=-1e9)
         return sorted(sent.values(), reverse=True)[need - 1] if len(sent) >= need else -1e9
 
     def leader_name(self) -> str | None:
--- a/hookwall/placement.py
+++ b/hookwall/placement.py
@@ -28,6 +28,7 @@
     penalty: float = 0.0
     warm: frozenset[int] | set[int] = frozenset()
     stock: float = 0.0  # GB of images there that jobs of whole machines use
+    whole: bool | None = None  # whether such a job has a task there; None: not asked yet
 
 
 @dataclass(slots=True)
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -506,14 +506,17 @@
         left = math.ceil(KEEP_Z * math.sqrt(self.mean_whole))
         spare = [
             r for r in p.rooms.values()
-            if not r.spot and r.index not in p.held and not self._has_whole(r.index)
+            if not r.spot and r.index not in p.held and not self._has_whole(r)
         ]  # fmt: skip
         spare.sort(key=lambda r: (-r.gpus, -r.cpus, r.index))
         p.awaited = {r.index for r in spare[:waits]}
         p.kept = {r.index for r in spare[waits : waits + left]}
 
-    def _has_whole(self, index: int) -> bool:
-        return any(self._whole(j) for j, _ in self.fleet.by_index[index].entries.values())
+    def _has_whole(self, room: Room) -> bool:
+        """Whether a task is there that needs a machine whole; asked once for as long as nothing there changes."""
+        if room.whole is None:
+            room.whole = any(self._whole(j) for j, _ in self.fleet.by_index[room.index].entries.values())
+        return room.whole
 
     def _reserve(self, job: Job, ask: Ask, p: Picture, now: float) -> None:
         """Keep later jobs off the machines that a waiting gang will get first.
--- a/hookwall/wire.py
+++ b/hookwall/wire.py
@@ -6,6 +6,7 @@
 
 import math
 import re
+from functools import lru_cache
 from typing import Annotated
 
 import msgspec
@@ -123,6 +124,7 @@
         raise BadMessage(str(e)) from None
 
 
+@lru_cache(maxsize=8192)  # each report names the same tasks again; a few more than the machines run at once
 def split_task(piece: str) -> tuple[str, int] | None:
     """`run-000412/3` -> (job, task)."""
     ref, sep, number = piece.rpartition("/")
