--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -351,16 +351,19 @@
 
     async def round_loop(self) -> None:
         """Rounds of decisions while this node leads."""
+        took = 0.0
         while True:
             try:
                 async with asyncio.timeout(ROUND_EVERY_S):
                     await self.wake.wait()
             except TimeoutError:
                 pass
-            await asyncio.sleep(ROUND_GAP_S)
+            # Where a round takes long, reports and users have as long in between.
+            await asyncio.sleep(min(max(ROUND_GAP_S, took), ROUND_EVERY_S))
             self.wake.clear()
             if not self.leadership.valid():
                 continue
+            began = self.clock()
             try:
                 self.fleet.begin(self.clock())
                 self.fleet.expire(self.clock())
@@ -369,6 +372,7 @@
                 self.write_wake.set()
             except Exception:
                 log.exception("round failed")
+            took = self.clock() - began
 
     async def _keep(self, name: str, loop: Any) -> None:
         """A loop that ends by an error starts again: a node must not half-live."""
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -18,7 +18,8 @@
 
 log = logging.getLogger("hookwall.scheduler")
 
-ROUND_BUDGET_S = 0.03
+ROUND_CORE_S = 0.011  # of a core, for one round: 30 ms on a third of one
+MOST_ROUND_S = 0.12  # reports and health checks wait meanwhile
 MOST_FRESH = 60  # jobs with starts that wait to be stored
 HOLD_AFTER_S = 1.0
 KEEP_Z = 0.8  # how many machines are kept for whole-machine jobs, in roots of their mean need
@@ -108,6 +109,8 @@
     ) -> None:
         self.params, self.table, self.fleet, self.clock, self.wall = params, table, fleet, clock, wall
         self.limits = [params.teams[i] for i in range(len(params.teams))]
+        # A budget of time that stayed as it was when the share was halved cut each round's work to a half as well.
+        self.budget_s = min(MOST_ROUND_S, ROUND_CORE_S / max(0.01, params.machine_limits.core_share))
         self.resume: tuple | None = None
         self.waiting: dict[str, Waiting] = {}
         self.fresh_count: Callable[[], int] = lambda: 0
@@ -216,7 +219,7 @@
         """Serve jobs in order while there is time; the key of the one to go on with, or None."""
         fresh = self.fresh_count()
         for i, (key, job) in enumerate(queue):
-            if i > 0 and self.clock() - now > ROUND_BUDGET_S:
+            if i > 0 and self.clock() - now > self.budget_s:
                 log.debug("round out of time after %d of %d jobs", i, len(queue))
                 return key
             if fresh > MOST_FRESH:
@@ -270,7 +273,7 @@
         ]  # fmt: skip
         if not spec.gang:
             rooms = self._uncontested(job, rooms, p, now)
-        elif job.tasks > 1:
+        else:
             rooms = self._spared(job, ask, rooms, p, now)
         got = self._choose(job, ask, p, rooms, firm, now)
         if got and self._better_warm(job, ask, p, got, firm, now):
@@ -428,23 +431,22 @@
         """
         w = self.waiting.get(job.ref)
         spec = job.spec
-        if w is None or spec is None:
+        if w is None or spec is None or job.tasks < 2:
             return rooms
         wanted = self._rival_images(job, p)
         if not wanted:
             return rooms
-        left: list[Room] = []
+        left: set[int] = set()
         fetch = 0.0
         for r in rooms:
             if r.gpus + EPS < spec.gpus or job.image in r.warm:
                 continue  # in a queue, nearly all are full: the cheapest check comes first
             if wanted & r.warm and allowed(ask, r) and units(ask, r) > 0:
-                left.append(r)
+                left.add(r.index)
                 fetch = max(fetch, self.fleet.fetch_s(r.type, spec.image_gb))
         if fetch < WARM_GAIN_S or not self._leaves(w, now, fetch, DECLINE_GANG):
             return rooms
-        gone = {r.index for r in left}
-        return [r for r in rooms if r.index not in gone]
+        return [r for r in rooms if r.index not in left]
 
     def _widest(self, job: Job) -> int:
         """How many more starts the job's record can name: a value has a limit, and ranges are short."""
@@ -526,8 +528,7 @@
         """
         left = ask.count - sum(ref == job.ref for ref in p.held.values())
         fit = p.unheld(ask)
-        if job.tasks > 1:
-            fit = self._spared(job, ask, fit, p, now)
+        fit = self._spared(job, ask, fit, p, now)
         if ask.one_zone and fit:
             by_zone: dict[int, list[Room]] = {}
             for r in fit:
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -139,11 +139,19 @@
             if self.nodes <= 1:
                 rate = limit * 0.95
             elif self.leading:
-                rate = limit * LEADS[i] - sum(lent[i] for lent, _ in self.lent.values())
+                rate = limit * LEADS[i] - self._lent_out(i)
             else:
-                rate = limit * (0.96 - LEADS[i]) / (self.nodes - 1) + self.borrowed[i]
+                rate = self._follower(i, limit) + self.borrowed[i]
             bucket.set_share(rate, max(2.0, rate * 0.7))
 
+    def _follower(self, i: int, limit: float) -> float:
+        """A follower's own share of a limit."""
+        return limit * (0.96 - LEADS[i]) / (self.nodes - 1)
+
+    def _lent_out(self, i: int) -> float:
+        """What this leader has lent of a limit."""
+        return sum(lent[i] for lent, _ in self.lent.values())
+
     def _buckets(self) -> tuple[tuple[Bucket, float], tuple[Bucket, float]]:
         return (self.requests, self.limits.rps), (self.writes, self.limits.write_rps)
 
@@ -159,9 +167,8 @@
         if self.leading and self.nodes > 1 and isinstance(want, list) and len(want) == 2:
             for i, (_, limit) in enumerate(self._buckets()):
                 if isinstance(want[i], float | int) and math.isfinite(want[i]):
-                    own = limit * (0.96 - LEADS[i]) / (self.nodes - 1)
-                    left = limit * (LEADS[i] - KEEPS) - sum(lent[i] for lent, _ in self.lent.values())
-                    out[i] = max(0.0, min(1.3 * want[i] - own, left))
+                    left = limit * (LEADS[i] - KEEPS) - self._lent_out(i)
+                    out[i] = max(0.0, min(1.3 * want[i] - self._follower(i, limit), left))
         if any(out):
             self.lent[peer] = ((out[0], out[1]), now + LENT_S)
         self._pace()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,8 +1,10 @@
 """Rounds: order, limits, preemption, and the time budget."""
 
 import msgspec
+import pytest
 
 from hookwall import scheduler as sched
+from hookwall.settings import MachineLimits
 
 
 def up(cluster, *names, **kw):
@@ -87,7 +89,7 @@
     real = sched.place
 
     def slow(ask, rooms):
-        cluster.clock.tick(sched.ROUND_BUDGET_S / 3)
+        cluster.clock.tick(cluster.scheduler.budget_s / 3)
         return real(ask, rooms)
 
     monkeypatch.setattr(sched, "place", slow)
@@ -101,6 +103,15 @@
     assert served[0] < 20 and served[-1] == 20 and served == sorted(served)
 
 
+@pytest.mark.parametrize(
+    ("share", "budget_s"), [(0.36, 0.0306), (0.18, 0.0611), (0.13, 0.0846), (0.01, 0.12), (1.0, 0.011)]
+)
+def test_a_round_s_time_follows_the_share_of_a_core(cluster, params, share, budget_s):
+    params = msgspec.structs.replace(params, machine_limits=MachineLimits(core_share=share))
+    scheduler = sched.Scheduler(params, cluster.table, cluster.fleet, cluster.clock)
+    assert scheduler.budget_s == pytest.approx(budget_s, rel=0.01)
+
+
 def test_a_broken_gang_is_stopped_and_starts_whole_again(cluster):
     up(cluster, "vm-1")
     up(cluster, "vm-2")
