--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from known_red import pytest_collection_modifyitems, pytest_configure, pytest_terminal_summary  # noqa: F401
 
 from hookwall import wire
 from hookwall.fleet import Fleet
