--- a/hookwall/cancellations.py
+++ b/hookwall/cancellations.py
@@ -12,7 +12,10 @@
 
 What a valid leader knew at some moment, every later leader knows: it reads the records after its own
 key was written. So a cancellation is *settled*, and need not be told to anybody, once its stamp is
-below the leader key's, or not above the position up to which a valid leader has read the changes.
+not above the position up to which a valid leader has read the changes, which its pings tell. (That a
+newer leader key is stored would not do: the write may have been carried out late, for a candidate that
+gave up, while the earlier leader has promises again.)
+
 A leader in hold mode is valid only shortly after the state service answered it; it relies on the
 backstop alone, so there the user may be told if the key is unchanged after the cancellation.
 """
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -152,7 +152,6 @@
         self.reply: Callable[[dict], dict] = lambda ping: {}
         self.on_reply: Callable[[str, float, dict], None] = lambda peer, sent, answer: None
         self.on_told: Callable[[dict], dict] = lambda message: {}
-        self.on_key: Callable[[int], None] = lambda stamp: None
         self.peer_want: dict[str, tuple[float, object]] = {}
         self.hint: Callable[[], object] = lambda: None
         self.on_hint: Callable[[object], None] = lambda _: None
@@ -238,8 +237,6 @@
         self.key_node, self.key_stamp, self.key_known = node, stamp, True
         self.key_mode = Mode.HOLD if v.get("mode") == Mode.HOLD.value else Mode.PROMISE
         self.promise.seen_key = (node, stamp)
-        if stamp:
-            self.on_key(stamp)
         if stamp and node != self.me:
             self.promise.token = max(self.promise.token, stamp)
         if self.role.leads() and stamp != self.token:
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -127,8 +127,10 @@
 
 
 def test_what_an_earlier_leader_read_needs_no_telling(node, peers):
-    node.settle(19)  # the leader key is 20
+    node.reply({"pos": 19})
     assert asyncio.run(node.confirmed("run-000001", 19)) is True and peers.heard == []
+    # A newer leader key proves nothing: it may name a candidate that gave up, written late.
+    node.lead.saw_key({"node": "n2"}, 30)
     assert asyncio.run(node.confirmed("run-000001", 21)) is False
 
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -143,6 +143,28 @@
     assert play(nodes, script) == ("done", "done")
 
 
+def test_a_cancellation_that_loses_against_the_last_task_s_end_says_done(nodes, state):
+    """The leader stores the end just between the cancellation's reading and its writing."""
+
+    async def script(a, b):
+        await a.submit(body(1))
+        key, read = "hookwall/job/run-000001", state.get
+
+        async def get(k):
+            got = await read(k)
+            if state.keys[key][0]["phase"] == "open":
+                state.epoch += 1
+                state.keys[key] = ({"phase": "done", "n": 1, "next": 2, "on": []}, state.epoch)
+            return got
+
+        state.get = get
+        return json.loads((await b.cancel("run-000001"))[1])["phase"], json.loads((await a.get("run-000001"))[1])[
+            "phase"
+        ]
+
+    assert play(nodes, script) == ("done", "done")
+
+
 def test_a_cancellation_seen_while_the_leader_writes_is_not_answered_with_running(nodes):
     async def script(a, b):
         await a.submit(body(1))
