--- a/hookwall/cloud.py
+++ b/hookwall/cloud.py
@@ -107,7 +107,6 @@
 FIRM_Z = 3.0  # the same where a guarantee has to start sooner than a machine boots
 QUIET_S = 20.0  # without any job for this long, nothing stands ready
 KEEP_IDLE_S = 25.0
-MEASURE_EVERY_S = 1.0
 TRIM_AFTER_S = 30.0  # a new leader lets nothing go before it has seen this much
 DEAR = 2.5  # a pool is no substitute for another that costs so much less
 
@@ -604,10 +603,9 @@
                         self.take_list(listed, self.clock())
                 if not valid():
                     continue
-                if now - self.measured_at >= MEASURE_EVERY_S:
-                    self.measure(self.clock())
-                    if self.listed_once and now - self.began_at > TRIM_AFTER_S:
-                        self.trim(self.clock())
+                self.measure(self.clock())
+                if self.listed_once and now - self.began_at > TRIM_AFTER_S:
+                    self.trim(self.clock())
                 gone = self.to_return(self.clock())[:MOST_PER_DELETE]
                 if gone:
                     await self.client.delete([m.name for m in gone])
