--- a/hookwall/cancellations.py
+++ b/hookwall/cancellations.py
@@ -54,6 +54,7 @@
         self.withdraw = withdraw
         # Where a lease outlasts `cancel_s` no silence could keep the promise, and answers stop with the next report.
         self.budget_s = max(workers.report_s, workers.cancel_s - workers.lease_s * (1 + DRIFT) - MARGIN_S)
+        self.cancel_s = workers.cancel_s
         self.records_at = -1e9  # when the last request was sent whose answer showed the records as they were
         self.complete = False  # whether this process has read all records; one that has not may have forgotten
         self.told: dict[str, float] = {}  # when a ping was sent whose answer named all that the peer knows
@@ -77,6 +78,10 @@
         """Whether a lease renewed now ends in time for any cancellation not heard of."""
         return self.clock() - self.knows_until() < self.budget_s
 
+    def records_current(self) -> bool:
+        """Whether all that users were told `cancel_s` ago or earlier is in the records as they are known here."""
+        return self.clock() - self.records_at < self.cancel_s * (1 - DRIFT) - MARGIN_S
+
     # -- what is settled ---------------------------------------------------------------------------
 
     def learn(self, ref: str, stamp: int) -> None:
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -250,7 +250,7 @@
             self.solid_images.add(job.image)
             self._all_rooms_changed()
         job.team = self.teams.of(spec.team)
-        job.rank = wire.RANKS.index(spec.rank)
+        job.rank = self.table.rank(job)
         job.types = None if spec.types is None else frozenset(self.types.of(t) for t in spec.types)
         job.zone = -1 if spec.zone is None else self.zones.of(spec.zone)
         for a in job.active.values():
--- /dev/null
+++ b/hookwall/job_writer.py
@@ -0,0 +1,259 @@
+"""Storing the leader's decisions: many jobs in one conditional write.
+
+Each write is conditional on the leader key, on the keys of the nodes that keep leases, and on the stamp of
+each job in it. A write that was refused, or whose answer did not come, leaves its jobs to be written again
+on what the service then shows.
+"""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from hookwall import records
+from hookwall import store as st
+from hookwall.jobs import OPEN, Job, JobTable, write_order
+from hookwall.keeper import Kept
+from hookwall.leadership import Leadership, Role
+from hookwall.records import Encoded, RecordTooLarge
+from hookwall.store import Conflict, Refused, Store, TooLarge, Unknown
+
+log = logging.getLogger("hookwall.job_writer")
+
+WRITE_GAP_S = 0.05
+IDLE_S = 0.5
+AFTER_FAILURE_S = 0.2
+BATCH_BYTES = 56 * 1024
+ENTRY_BYTES = 200  # of a transaction, beside each record
+ALONE_S = 5.0  # so long after a write that was too large, each job is written by itself
+COLLECT_EVERY_S = 5.0
+
+
+@dataclass(slots=True)
+class PendingWrite:
+    """One job's part of a write, with what has to be known once it is answered."""
+
+    job: Job
+    encoded: Encoded
+    new_parts: dict[str, str]
+    bytes: int
+    starts: dict[int, tuple[str, int]]
+    phase: str
+    done: int
+    fresh: bool
+    dirty_at: float
+
+    def puts(self) -> int:
+        """Changes that the write takes."""
+        return 1 + len(self.new_parts)
+
+
+class JobWriter:
+    """Writes jobs that have changed, most pressing first, while this node leads."""
+
+    def __init__(
+        self,
+        table: JobTable,
+        store: Store,
+        lead: Leadership,
+        kept: Kept,
+        keep_keys: list[str],
+        clock: Callable[[], float],
+    ) -> None:
+        self.table, self.store, self.lead, self.kept, self.clock = table, store, lead, kept, clock
+        self.keep_keys = keep_keys
+        self.wake = asyncio.Event()
+        self.alone_until = -1e9
+        self.collected_at = -1e9
+        self.new_formats: Callable[[], bool] = lambda: False
+        self.refresh: Callable[[str], Awaitable[None]] = _no_refresh
+        self.on_stored: Callable[[], None] = lambda: None
+
+    async def run(self) -> None:
+        """Write for as long as the process runs."""
+        while True:
+            await asyncio.sleep(WRITE_GAP_S)
+            jobs: list[Job] = []
+            if self.lead.valid():
+                jobs = write_order(self.table.open.values(), self.clock(), self.store.spare())
+            if jobs:
+                await self._write(jobs)
+                continue
+            if self.lead.valid() and self.table.parts.stale:
+                await self._collect_parts()
+            await self._wait()
+
+    async def _wait(self) -> None:
+        """Until something has changed, or for a while."""
+        self.wake.clear()
+        try:
+            async with asyncio.timeout(IDLE_S):
+                await self.wake.wait()
+        except TimeoutError:
+            pass
+
+    # -- one write ---------------------------------------------------------------------------------
+
+    def _prepare(self, job: Job) -> PendingWrite | None:
+        """What is to be written of a job; None if no form of it fits."""
+        limit = self.store.value_limit if self.new_formats() else None
+        try:
+            encoded = records.encode(job.ref, job.record(), limit)
+        except RecordTooLarge:
+            log.error("record of %s does not fit the state service", job.ref)
+            return None
+        there = records.part_keys(job.ref, job.raw)
+        new = {key: text for key, text in encoded.parts.items() if key not in there}
+        length = records.size(encoded.value) + ENTRY_BYTES + sum(len(text) + ENTRY_BYTES for text in new.values())
+        starts = {a.task: (a.machine, a.attempt) for a in job.active.values()}
+        return PendingWrite(job, encoded, new, length, starts, job.phase, job.n_done, job.fresh, job.dirty_at)
+
+    def _batch(self, jobs: list[Job]) -> list[PendingWrite]:
+        """As many jobs as one transaction takes, at least one."""
+        most = 1 if self.clock() < self.alone_until else self.store.batch()
+        batch: list[PendingWrite] = []
+        puts, length = 0, ENTRY_BYTES
+        for job in jobs[:most]:
+            write = self._prepare(job)
+            if write is None:
+                job.dirty_at = self.clock()
+                continue
+            if batch and (puts + write.puts() > most or length + write.bytes > BATCH_BYTES):
+                break
+            puts, length = puts + write.puts(), length + write.bytes
+            batch.append(write)
+            job.dirty, job.fresh, job.dirty_at, job.writing = False, False, -1.0, True
+        return batch
+
+    async def _write(self, jobs: list[Job]) -> None:
+        token = self.lead.token
+        batch = self._batch(jobs)
+        stamp = 0
+        conflict: list[str] = []
+        try:
+            if batch:
+                stamp = await self._commit(token, batch)
+        except Conflict as error:
+            conflict = error.failed
+        except TooLarge as error:
+            log.info("a write of %d jobs is too large: %s", len(batch), error)
+            self.alone_until = self.clock() + ALONE_S
+        except (Refused, Unknown) as error:
+            log.debug("write of %d jobs: %s", len(batch), error)
+        same = self.lead.token == token and self.lead.role is Role.LEADER
+        for write in batch:
+            self._answered(write, stamp, same)
+        if not same:
+            return
+        await self._follow_conflict(conflict)
+        if stamp:
+            self.on_stored()
+        elif not conflict:
+            await asyncio.sleep(AFTER_FAILURE_S)
+
+    async def _commit(self, token: int, batch: list[PendingWrite]) -> int:
+        """Write the records with their new parts, or after them where one transaction does not take all."""
+        fence = [(st.LEADER, token), *self.kept.conditions(self.keep_keys)]
+        conditions = [*fence, *((st.JOBS + w.job.ref, w.job.stamp) for w in batch)]
+        parts = {key: text for w in batch for key, text in w.new_parts.items()}
+        step = self.store.batch()
+        while len(parts) + len(batch) > max(step, len(batch)):
+            # One job whose parts are many. They may be removed as long as no record names them, hence the conditions.
+            first = list(parts.items())[:step]
+            written = await self.store.commit(conditions, first)
+            for key, text in first:
+                self.table.take_part(key, text)
+                conditions.append((key, written))
+                del parts[key]
+        put = [*parts.items(), *((st.JOBS + w.job.ref, w.encoded.value) for w in batch)]
+        written = await self.store.commit(conditions, put)
+        for key, text in parts.items():
+            self.table.take_part(key, text)
+        return written
+
+    def _answered(self, write: PendingWrite, stamp: int, same: bool) -> None:
+        """Take note of what became of one job's write."""
+        job = write.job
+        job.writing = False
+        if not same:
+            return
+        if stamp:
+            job.stored(stamp, write.starts, write.phase, write.done, write.encoded.value)
+            self.table.parts.complete(job.ref)
+            if job.final() and write.phase != OPEN:
+                log.info("%s is %s", job.ref, write.phase)
+            self.table.note(job)
+        else:
+            job.dirty = True
+            job.fresh, job.dirty_at = job.fresh or write.fresh, write.dirty_at
+        if job.parked is not None:
+            value, at = job.parked
+            job.parked = None
+            self.table.apply(st.JOBS + job.ref, value, at)
+
+    # -- what had changed meanwhile ----------------------------------------------------------------
+
+    async def _follow_conflict(self, conflict: list[str]) -> None:
+        """Read again what a write found changed."""
+        if st.LEADER in conflict:
+            self.lead.step_down("a write was refused: the leader key has changed")
+            return
+        keepers = [key for key in conflict if key in self.keep_keys]
+        if keepers:
+            await self._keepers_changed(keepers)
+        for key in conflict:
+            if not key.startswith(st.JOBS):
+                continue
+            try:
+                await self.refresh(key)
+            except (Refused, Unknown) as error:
+                log.debug("refresh of %s: %s", key, error)
+
+    async def _keepers_changed(self, keys: list[str]) -> None:
+        """A follower keeps leases that this leader did not know of: what it believed to be over may not be."""
+        log.info("keepers have changed; decisions that are not stored are void")
+        for key in keys:
+            try:
+                got = await self.store.get(key)
+            except (Refused, Unknown):
+                continue
+            if got is not None:
+                self.kept.take(key, *got)
+            elif key in self.kept.keys:
+                self.kept.take(key, None, 0)
+            else:
+                self.kept.missed()
+        self.table.revert()
+
+    # -- parts that no record names -----------------------------------------------------------------
+
+    async def _collect_parts(self) -> None:
+        """Remove parts of one job that its record does not name, unless the record changes meanwhile.
+
+        A job without a record may be about to get one, so its parts stay.
+        """
+        if not self.store.spare() or self.clock() - self.collected_at < COLLECT_EVERY_S:
+            return
+        self.collected_at = self.clock()
+        ref = self.table.parts.stale.pop()
+        job = self.table.jobs.get(ref)
+        if job is None or not job.stamp or job.writing:
+            return
+        unused = self.table.parts.unused(ref, job.raw)[: self.store.batch()]
+        if not unused:
+            return
+        try:
+            await self.store.commit([(st.LEADER, self.lead.token), (st.JOBS + ref, job.stamp)], delete=unused)
+        except (Conflict, Refused) as error:
+            log.debug("parts of %s stay: %s", ref, type(error).__name__)
+            self.table.parts.stale.add(ref)
+            return
+        except Unknown:
+            pass  # they may be gone, so they are written anew if they are needed
+        for key in unused:
+            self.table.parts.remove(key)
+        self.table.parts.stale.add(ref)
+
+
+async def _no_refresh(key: str) -> None:
+    """Where nothing can be read."""
--- a/hookwall/jobs.py
+++ b/hookwall/jobs.py
@@ -6,17 +6,13 @@
 """
 
 import logging
-import time
-from collections.abc import Awaitable, Callable, Iterable
-from typing import Any
-
-import msgspec
+from collections.abc import Callable, Iterable
 
+from hookwall import records, wire
 from hookwall import store as st
-from hookwall import wire
-from hookwall.settings import Params
-from hookwall.store import Confirmer, Conflict, Refused, Store, Unknown
-from hookwall.wire import BadMessage, Catalog, JobSpec
+from hookwall.dependencies import DependencyGraph, Outcome
+from hookwall.records import JobRecord, MalformedRecord, MissingParts, pack_numbers, unpack_numbers
+from hookwall.wire import JobSpec
 
 log = logging.getLogger("hookwall.jobs")
 
@@ -25,31 +21,6 @@
 REST_MOST_S = 15.0  # and how long while the state service has no changes to spare
 
 
-def pack(numbers: Iterable[int]) -> str:
-    """Task numbers as ranges: `0-3,7`. A job of 100,000 tasks has to fit one value."""
-    out: list[str] = []
-    start = last = -2
-    for n in sorted(numbers):
-        if n == last + 1:
-            last = n
-            continue
-        if start >= 0:
-            out.append(f"{start}-{last}" if last > start else f"{start}")
-        start = last = n
-    if start >= 0:
-        out.append(f"{start}-{last}" if last > start else f"{start}")
-    return ",".join(out)
-
-
-def unpack(text: str) -> list[int]:
-    """The numbers that `pack` wrote."""
-    out: list[int] = []
-    for part in text.split(",") if text else ():
-        a, _, b = part.partition("-")
-        out.extend(range(int(a), int(b or a) + 1))
-    return out
-
-
 class Active:
     """One start of one task: from the decision until it is shown to be gone."""
 
@@ -81,11 +52,13 @@
 
     __slots__ = (
         "active",
+        "arrival",
         "at",
         "cursor",
         "dirty",
         "dirty_at",
         "done",
+        "ended",
         "errors",
         "failed_at",
         "fresh",
@@ -115,7 +88,9 @@
         self.ref = ref
         self.spec: JobSpec | None = None
         self.stamp = 0
-        self.at = 0.0
+        self.at = 0.0  # time of day of its submission
+        self.arrival = 0.0  # since when it can be served: its submission, or the end of the last job that it needs
+        self.ended: float | None = None  # time of day at which its last task was found done
         self.phase = OPEN
         self.next_attempt = 1
         self.tasks = 0
@@ -177,51 +152,43 @@
         self.cursor = min(self.cursor, task)
         self.dirty = True
 
-    def record(self) -> dict[str, Any]:
+    def record(self) -> JobRecord:
         """What is written to the state service."""
         grouped: dict[tuple[str, int, int], list[int]] = {}
         for a in self.active.values():
             grouped.setdefault((a.machine, a.tenure, a.attempt), []).append(a.task)
-        on = [[m, t, n, pack(tasks)] for (m, t, n), tasks in grouped.items()]
-        out: dict[str, Any] = {"phase": self.phase, "n": self.tasks, "next": self.next_attempt, "on": on}
+        on = [(m, t, n, pack_numbers(tasks)) for (m, t, n), tasks in grouped.items()]
+        record = JobRecord(phase=self.phase, tasks=self.tasks, next_attempt=self.next_attempt, on=on)
+        if self.phase == DONE:
+            record.ended = self.ended
         if self.phase == OPEN or on:
             assert self.spec is not None and self.done is not None
-            out["spec"] = msgspec.to_builtins(self.spec)
-            out["at"] = self.at
-            out["done"] = pack(i for i, d in enumerate(self.done) if d) if self.n_done else ""
-        return out
+            record.spec, record.at = self.spec, self.at
+            record.done = pack_numbers(i for i, d in enumerate(self.done) if d) if self.n_done else ""
+        return record
 
-    def take(self, value: object, stamp: int, now: float) -> None:
+    def take(self, record: JobRecord, raw: object, stamp: int, now: float) -> None:
         """Replace what is known by a stored record. What workers said of the same starts is kept."""
-        v = value if isinstance(value, dict) else {}
         old = self.active
-        self.stamp, self.raw = stamp, value
-        self.phase = self.stored_phase = str(v.get("phase", OPEN))
-        self.tasks = int(v.get("n", 0))
-        self.next_attempt = int(v.get("next", 1))
-        self.at = float(v.get("at", self.at))
-        spec = v.get("spec")
-        if spec is None:
-            self.spec = None
-        elif self.spec is None:
-            self.spec = msgspec.convert(spec, JobSpec)
+        self.stamp, self.raw = stamp, raw
+        self.phase = self.stored_phase = record.phase
+        self.tasks, self.next_attempt, self.ended = record.tasks, record.next_attempt, record.ended
+        if record.at is not None:
+            self.at = record.at
+        self.arrival = self.at
+        if record.spec is None or self.spec is None:
+            self.spec = record.spec
         self.active = {}
         self.stored_on = {}
-        for machine, tenure, attempt, tasks in v.get("on", ()):
-            for task in unpack(tasks):
+        for machine, tenure, attempt, tasks in record.on:
+            for task in unpack_numbers(tasks):
                 a = old.get(task)
                 if a is None or (a.machine, a.tenure, a.attempt) != (machine, tenure, attempt):
                     a = Active(task, machine, tenure, attempt, now)
                 self.active[task] = a
                 self.stored_on[task] = (machine, attempt)
-        if spec is not None:
-            self.done = bytearray(self.tasks)
-            done = unpack(v.get("done", ""))
-            for task in done:
-                self.done[task] = 1
-                if task in self.active:
-                    self.active[task].finished = True
-            self.n_done = len(done)
+        if record.spec is not None:
+            self._take_done(unpack_numbers(record.done or ""))
         else:
             self.done = None
             self.n_done = self.tasks if self.phase == DONE else 0
@@ -229,6 +196,15 @@
         self.cursor = 0
         self.dirty = self.void = self.fresh = False
 
+    def _take_done(self, done: list[int]) -> None:
+        """The tasks that the record says are done."""
+        self.done = bytearray(self.tasks)
+        for task in done:
+            self.done[task] = 1
+            if task in self.active:
+                self.active[task].finished = True
+        self.n_done = len(done)
+
     def stored(self, stamp: int, on: dict[int, tuple[str, int]], phase: str, done: int, raw: object = None) -> None:
         """A write of ours succeeded with this content."""
         self.raw = raw
@@ -257,8 +233,8 @@
             first.append(job)
         elif now - job.dirty_at > (REST_S if spare else REST_MOST_S):
             rest.append(job)
-    first.sort(key=lambda j: (j.phase == OPEN, j.rank, j.dirty_at, j.at))
-    rest.sort(key=lambda j: (j.dirty_at, j.at))
+    first.sort(key=lambda j: (j.phase == OPEN, j.rank, j.dirty_at, j.arrival))
+    rest.sort(key=lambda j: (j.dirty_at, j.arrival))
     return first + rest
 
 
@@ -268,11 +244,16 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
         self.jobs: dict[str, Job] = {}
-        self.open: dict[str, Job] = {}  # those that still matter to the leader
+        self.open: dict[str, Job] = {}  # those that still matter to the leader and wait for no other job
+        self.blocked: dict[str, Job] = {}  # those that wait for others
+        self.graph = DependencyGraph()
+        self.parts = PartTable()
         self.on_taken: Callable[[Job, list[Active]], None] = lambda job, before: None
         self.heard: dict[str, int] = {}  # cancellations that a peer has told and the records here don't show yet
         self.on_withdrawn: Callable[[str, int], None] = lambda ref, stamp: None
 
+    # -- records ----------------------------------------------------------------------------------
+
     def apply(self, key: str, value: object, stamp: int) -> None:
         """A record as read or watched; older than what is known: ignored."""
         ref = key[len(st.JOBS) :]
@@ -283,15 +264,21 @@
             return
         if job.writing:
             job.parked = (value, stamp)
-            if isinstance(value, dict) and value.get("phase") == WITHDRAWN:
+            if _phase(value) == WITHDRAWN:
                 self.withdraw(ref, stamp)
             return
         before = list(job.active.values())
         try:
-            job.take(value, stamp, self.clock())
-        except (ValueError, TypeError, IndexError, AttributeError, msgspec.ValidationError) as e:
-            log.error("record of %s is malformed: %s", ref, e)
+            job.take(records.decode(ref, value, self.parts.get), value, stamp, self.clock())
+        except MissingParts:
+            self.parts.await_parts(ref, value, stamp)
+            if _phase(value) == WITHDRAWN:
+                self.withdraw(ref, stamp)
+            return
+        except (ValueError, IndexError, MalformedRecord) as error:
+            log.error("record of %s is malformed: %s", ref, error)
             return
+        self.parts.complete(ref)
         if job.stored_phase == WITHDRAWN:
             self.on_withdrawn(ref, stamp)
         if self.heard.get(ref, 0) > stamp and not job.final():
@@ -301,6 +288,20 @@
         self.note(job)
         self.on_taken(job, before)
 
+    def take_part(self, key: str, text: object) -> None:
+        """A part of a record as read or watched."""
+        ref = self.parts.add(key, text)
+        waiting = self.parts.incomplete.get(ref)
+        if waiting is not None:
+            self.apply(st.JOBS + ref, *waiting)
+
+    def missing_parts(self, ref: str) -> list[str]:
+        """The parts without which the newest record that was seen can't be read."""
+        waiting = self.parts.incomplete.get(ref)
+        if waiting is None:
+            return []
+        return [key for key in records.part_keys(ref, waiting[0]) if self.parts.get(key) is None]
+
     def withdraw(self, ref: str, stamp: int) -> None:
         """Somebody knows that this job's cancellation was stored: no start of it from now on, and its tasks stop.
 
@@ -336,194 +337,130 @@
                 job.void = True
                 self.apply(st.JOBS + job.ref, job.raw, job.stamp)
 
-    def note(self, job: Job) -> None:
-        """Keep the list of jobs that are not over."""
-        if job.spec is not None and (job.phase == OPEN or job.active or not job.final()):
-            self.open[job.ref] = job
-        else:
-            self.open.pop(job.ref, None)
-
-
-Answer = tuple[int, bytes, dict[str, str] | None]
+    # -- what follows from records ------------------------------------------------------------------
 
-
-async def _always(ref: str, stamp: int) -> bool:
-    """Where there is nobody else to tell."""
-    return True
-
-
-LATER = {"Retry-After": "1"}
-
-
-def later(why: str) -> Answer:
-    """Can't be answered now: said at once, with when to come back."""
-    return 503, b'{"error":"' + why.encode() + b'"}', LATER
-
-
-class UserApi:
-    """What users may ask of any node."""
-
-    def __init__(
-        self,
-        params: Params,
-        table: JobTable,
-        store: Store,
-        confirmer: Confirmer,
-        wall: Callable[[], float] = time.time,
-    ) -> None:
-        self.wall = wall
-        self.params, self.table, self.store, self.confirmer = params, table, store, confirmer
-        self.teams = {t.name: t for t in params.teams}
-        self.catalog: Catalog | None = None
-        # Whether a user may be told of a stored cancellation (cancellations.py).
-        self.confirmed: Callable[[str, int], Awaitable[bool]] = _always
-
-    async def refresh(self, key: str) -> None:
-        """Read a job's record anew."""
-        got = await self.store.get(key)
-        if got is not None:
-            self.table.apply(key, *got)
-
-    def _seen(self, job: Job) -> tuple[str, int]:
-        """The newest state of the job that was seen, and its stamp.
-
-        While a write of ours is under way somebody else's may have been seen: a cancellation told to
-        its user must not be followed by "running" because of the order in which we store.
-        """
-        parked = job.parked
-        if parked is not None and parked[1] > job.stamp and isinstance(parked[0], dict):
-            phase = str(parked[0].get("phase", OPEN))
-            if phase != OPEN:
-                return phase, parked[1]
-        return job.stored_phase, job.stamp
-
-    async def _state(self, job: Job) -> Answer:
-        """What the job's user is told. Cancelled only once all its tasks are certain to end in time."""
-        phase, stamp = self._seen(job)
-        if phase == WITHDRAWN and not await self.confirmed(job.ref, stamp):
-            return later("the cancellation is not known to the leader yet")
-        if phase == OPEN:
-            phase = "running" if job.stored_on else "pending"
-            return 200, wire.job_answer(job.ref, phase, job.stored_done, len(job.stored_on)), None
-        return 200, wire.job_answer(job.ref, phase, job.tasks if phase == DONE else job.stored_done, 0), None
-
-    async def _current(self, ref: str) -> Job | None:
-        """The job as it is now. A cached version is confirmed first unless it is final."""
-        job = self.table.jobs.get(ref)
-        if job is not None and job.final() and job.stamp:
-            return job
-        await self.confirmer.confirm(st.JOBS + ref, job.stamp if job is not None else 0)
-        job = self.table.jobs.get(ref)
-        return job if job is not None and job.stamp else None
-
-    async def get(self, ref: str) -> Answer:
-        if not wire.REF.match(ref):
-            return 404, b'{"error":"no such job"}', None
-        if not self.store.healthy() and not self._cached_final(ref):
-            return later("state service")
-        try:
-            job = await self._current(ref)
-        except (Refused, Unknown, TimeoutError):
-            return later("state service")
-        return await self._state(job) if job is not None else (404, b'{"error":"no such job"}', None)
-
-    def _cached_final(self, ref: str) -> bool:
-        job = self.table.jobs.get(ref)
-        return job is not None and job.stamp > 0 and job.final()
-
-    def impossible(self, spec: JobSpec, catalog: Catalog) -> str | None:
-        """Why the job can never run, or None."""
-        team = self.teams.get(spec.team)
-        if team is None:
-            return "unknown team"
-        n = spec.tasks if spec.gang else 1
-        if team.gpus_max and spec.gpus * n > team.gpus_max + 1e-9:
-            return "more GPUs than the team's limit"
-        if team.cpus_max and spec.cpus * n > team.cpus_max + 1e-9:
-            return "more CPUs than the team's limit"
-        for t in catalog.types:
-            if spec.types is not None and t.name not in spec.types:
-                continue
-            if spec.zone is not None and spec.zone not in t.zones:
-                continue
-            if spec.cpus <= t.cpus + 1e-9 and spec.gpus <= t.gpus + 1e-9 and spec.memory <= t.memory + 1e-9:
-                return None
-        return "a task fits no allowed machine type"
-
-    async def submit(self, body: bytes) -> Answer:
-        try:
-            spec = wire.decode_job(body)
-        except BadMessage as e:
-            return 400, msgspec.json.encode({"error": str(e)}), None
-        if self._cached_final(spec.ref):
-            return await self._state(self.table.jobs[spec.ref])
-        if not self.store.healthy():
-            return later("state service")
-        try:
-            if spec.ref in self.table.jobs and self.table.jobs[spec.ref].stamp:
-                job = await self._current(spec.ref)
-                if job is not None:
-                    return await self._state(job)
-            if self.catalog is None:
-                return later("machine types not known yet")
-            why = self.impossible(spec, self.catalog)
-            if why is not None:
-                # An accepted job must not be refused later, whatever this node remembers of it.
-                job = await self._current(spec.ref)
-                if job is not None:
-                    return await self._state(job)
-                return 422, msgspec.json.encode({"error": why}), None
-            job = Job(spec.ref)
-            job.spec, job.at, job.tasks, job.done = spec, self.wall(), spec.tasks, bytearray(spec.tasks)
-            key = st.JOBS + spec.ref
-            record = job.record()
-            if len(msgspec.json.encode(record)) > self.params.state.value_kb * 1024 - 512:
-                return 400, b'{"error":"description too large"}', None
-            try:
-                stamp = await self.store.commit([(key, 0)], [(key, record)])
-            except Conflict:
-                await self.refresh(key)
-                return await self._state(self.table.jobs[spec.ref])
-            self.table.apply(key, record, stamp)
-            log.debug("%s accepted: %s, %d tasks, image %s", spec.ref, spec.job_class, spec.tasks, spec.image)
-            return 201, wire.job_answer(spec.ref, "pending"), None
-        except (Refused, Unknown, TimeoutError, KeyError):
-            return later("state service")
-
-    async def cancel(self, ref: str) -> Answer:
-        if not wire.REF.match(ref):
-            return 404, b'{"error":"no such job"}', None
-        if self._cached_final(ref):
-            return await self._ended(ref, self.table.jobs[ref].stored_phase, self.table.jobs[ref].stamp)
-        if not self.store.healthy():
-            return later("state service")
-        key = st.JOBS + ref
-        try:
-            for _ in range(4):
-                got = await self.store.get(key)
-                if got is None:
-                    return 404, b'{"error":"no such job"}', None
-                value, stamp = got
-                self.table.apply(key, value, stamp)
-                assert isinstance(value, dict)
-                if value.get("phase") in (DONE, WITHDRAWN):
-                    return await self._ended(ref, str(value["phase"]), stamp)
-                changed = {**value, "phase": WITHDRAWN}
-                if not changed.get("on"):
-                    for name in ("spec", "at", "done"):
-                        changed.pop(name, None)
-                try:
-                    new = await self.store.commit([(key, stamp)], [(key, changed)])
-                except Conflict:
-                    continue
-                self.table.apply(key, changed, new)
-                return await self._ended(ref, WITHDRAWN, new)
-        except (Refused, Unknown, TimeoutError):
-            pass
-        return later("state service")
-
-    async def _ended(self, ref: str, phase: str, stamp: int) -> Answer:
-        """The answer to a cancellation of a job that has ended, now or before."""
-        if phase == WITHDRAWN and not await self.confirmed(ref, stamp):
-            return later("the cancellation is not known to the leader yet")
-        return 200, wire.job_answer(ref, phase), None
+    def note(self, job: Job) -> None:
+        """A job's record was taken or stored: keep the lists of jobs, and follow what others need of it."""
+        self._follow(job)
+        self._place(job)
+        self._follow_changes()
+
+    def _place(self, job: Job) -> None:
+        """Keep the lists of jobs that are not over."""
+        over = job.spec is None or (job.phase != OPEN and not job.active and job.final())
+        waits = job.phase == OPEN and not job.active and self.graph.blocked(job.ref)
+        _list_if(self.open, job, not over and not waits)
+        _list_if(self.blocked, job, not over and waits)
+
+    def _follow(self, job: Job) -> None:
+        """Tell the graph about a job that needs others or is needed."""
+        needs = job.spec.needs if job.spec is not None else None
+        if needs and not self.graph.needs(job.ref):
+            self.graph.add(job.ref, needs)
+            for ref in needs:
+                other = self.jobs.get(ref)
+                if other is not None:
+                    self._describe(other)
+        if job.ref in self.graph:
+            self._describe(job)
+            job.arrival = max(job.at, self.graph.ready_at(job.ref))
+            if self.graph.cancelled_with(job.ref):
+                self._cancel_with_needed(job)
+
+    def _describe(self, job: Job) -> None:
+        """What the graph has to know of a job."""
+        spec = job.spec
+        if spec is not None:
+            due_at = None if spec.due_s is None else job.at + spec.due_s
+            self.graph.describe(job.ref, wire.RANKS.index(spec.rank), spec.estimate_s, due_at)
+        if job.final():
+            self.graph.settle(job.ref, Outcome(job.stored_phase), job.ended)
+
+    def _cancel_with_needed(self, job: Job) -> None:
+        """A job that it needs was cancelled, so this one can never start; whoever leads stores that."""
+        if job.stamp and not job.final() and job.phase == OPEN:
+            job.phase = WITHDRAWN
+            job.dirty = True
+
+    def _follow_changes(self) -> None:
+        """Carry out what follows for other jobs."""
+        changes = self.graph.take_changes()
+        for ref in changes.cancelled:
+            job = self.jobs.get(ref)
+            if job is not None:
+                self._cancel_with_needed(job)
+                self._place(job)
+        for ref in changes.ready:
+            job = self.jobs.get(ref)
+            if job is not None and job.spec is not None:
+                job.arrival = max(job.at, self.graph.ready_at(ref))
+                self._place(job)
+                self.on_taken(job, list(job.active.values()))
+        for ref in changes.more_urgent:
+            job = self.jobs.get(ref)
+            if job is not None and job.spec is not None and job.rank >= 0:
+                job.rank = self.rank(job)
+
+    def rank(self, job: Job) -> int:
+        """The rank that a job is treated as having: its own, or that of a job that needs it."""
+        assert job.spec is not None
+        return self.graph.rank(job.ref, wire.RANKS.index(job.spec.rank))
+
+
+class PartTable:
+    """Parts of records that do not fit one value, as stored, and the records that wait for some."""
+
+    def __init__(self) -> None:
+        self.texts: dict[str, str] = {}
+        self.by_job: dict[str, set[str]] = {}
+        self.incomplete: dict[str, tuple[object, int]] = {}  # job -> its newest record that can't be read yet
+        self.stale: set[str] = set()  # jobs that may have parts that their record does not name any more
+
+    def get(self, key: str) -> str | None:
+        return self.texts.get(key)
+
+    def add(self, key: str, text: object) -> str:
+        """A part as read, watched or written; returns the job that it belongs to."""
+        ref = key[len(st.PARTS) :].partition("/")[0]
+        if isinstance(text, str):
+            self.texts[key] = text
+            self.by_job.setdefault(ref, set()).add(key)
+            self.stale.add(ref)
+        return ref
+
+    def remove(self, key: str) -> None:
+        """A part is gone."""
+        ref = key[len(st.PARTS) :].partition("/")[0]
+        self.texts.pop(key, None)
+        keys = self.by_job.get(ref, set())
+        keys.discard(key)
+        if not keys:
+            self.by_job.pop(ref, None)
+
+    def await_parts(self, ref: str, value: object, stamp: int) -> None:
+        """A record names parts that have not been seen."""
+        if stamp > self.incomplete.get(ref, (None, -1))[1]:
+            self.incomplete[ref] = (value, stamp)
+
+    def complete(self, ref: str) -> None:
+        """A job's newest record could be read."""
+        self.incomplete.pop(ref, None)
+        if ref in self.by_job:
+            self.stale.add(ref)
+
+    def unused(self, ref: str, value: object) -> list[str]:
+        """The parts of a job that its record does not name."""
+        return sorted(self.by_job.get(ref, set()) - set(records.part_keys(ref, value)))
+
+
+def _list_if(jobs: dict[str, Job], job: Job, belongs: bool) -> None:
+    """Have a job in a list or not."""
+    if belongs:
+        jobs[job.ref] = job
+    else:
+        jobs.pop(job.ref, None)
+
+
+def _phase(value: object) -> object:
+    """The phase that a stored value of any form says."""
+    return value.get("phase") if isinstance(value, dict) else None
--- a/hookwall/keeper.py
+++ b/hookwall/keeper.py
@@ -13,8 +13,8 @@
 import logging
 from collections.abc import Callable
 
+from hookwall import records, wire
 from hookwall import store as st
-from hookwall import wire
 from hookwall.clocks import DRIFT, SLACK_S
 from hookwall.jobs import JobTable
 from hookwall.leadership import Leadership, Mode, Role
@@ -57,6 +57,7 @@
         self.away: set[str] = set()  # those sent since the last write began
         self.shrunk = False  # whether the stored key names machines that are kept no more
         self.lock = asyncio.Lock()
+        self.new_formats: Callable[[], bool] = lambda: False
 
     def may(self, b: Beat) -> bool:
         """Whether this worker has lost a leader who, as far as the store says, leads.
@@ -124,14 +125,17 @@
                 return
             token = self.lead.key_stamp
             self.away.clear()
-            names = sorted(self.wanted | (self.kept if token == self.token else set()))
+            kept = self.kept if token == self.token else set()
+            names = [*sorted(kept), *sorted(self.wanted - kept)]
             try:
                 if self.stamp is None:
                     got = await self.store.get(self.key)
                     self.stamp = got[1] if got is not None else 0
                 sent = self.clock()
                 hold = await self.store.hold(HOLD_S)
-                value = {"token": token, "machines": names}
+                value = self._value(token, names)
+                # Who is not named any more is not answered any more, from before that is stored.
+                self.kept &= set(names)
                 stamp = await self.store.commit([(st.LEADER, token), (self.key, self.stamp)], [(self.key, value)], hold)
             except Refused as e:
                 # Not executed, so what is stored is as it was. A fleet that came all at once used up this
@@ -154,6 +158,18 @@
             # Not all of them: a name that was added while this write was under way still waits for its own.
             self.wanted -= self.kept
 
+    def _value(self, token: int, names: list[str]) -> dict:
+        """The key's value. Where it would be too large it names only some of the machines; the rest is not kept."""
+        value: dict[str, object] = {"token": token, "machines": names}
+        limit = self.store.value_limit
+        if not self.new_formats() or records.size(value) <= limit:
+            return value
+        while True:
+            value = {"token": token, "packed": records.compress(names)}
+            if records.size(value) <= limit or not names:
+                return value
+            del names[len(names) * 3 // 4 :]
+
     async def _stop(self, why: str) -> None:
         """Answer no more, and only then say so."""
         hold, self.hold = self.hold, None
@@ -216,9 +232,7 @@
         if stamp and old is not None and stamp <= old[0]:
             return
         now = self.clock()
-        names: frozenset[str] = frozenset()
-        if stamp and isinstance(value, dict) and isinstance(value.get("machines"), list):
-            names = frozenset(str(n) for n in value["machines"])
+        names = _machines(value) if stamp else frozenset()
         for name in (old[1] if old is not None else frozenset()) - names:
             self.released[name] = now
         if stamp:
@@ -240,3 +254,16 @@
     def conditions(self, keys: list[str]) -> list[tuple[str, int]]:
         """What each write of the leader is conditional on."""
         return [(k, self.keys[k][0] if k in self.keys else 0) for k in keys]
+
+
+def _machines(value: object) -> frozenset[str]:
+    """The machines that a keeper's key names."""
+    if not isinstance(value, dict):
+        return frozenset()
+    names = value.get("machines")
+    if isinstance(value.get("packed"), str):
+        try:
+            names = records.decompress(value["packed"], list[str])
+        except records.MalformedRecord as error:
+            log.error("a keeper's key is malformed: %s", error)
+    return frozenset(str(n) for n in names) if isinstance(names, list) else frozenset()
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -152,6 +152,9 @@
         self.reply: Callable[[dict], dict] = lambda ping: {}
         self.on_reply: Callable[[str, float, dict], None] = lambda peer, sent, answer: None
         self.on_told: Callable[[dict], dict] = lambda message: {}
+        # What a node says of itself in every message, and what that tells.
+        self.about: Callable[[], dict] = dict
+        self.on_about: Callable[[str, dict], None] = lambda node, message: None
         self.peer_want: dict[str, tuple[float, object]] = {}
         self.hint: Callable[[], object] = lambda: None
         self.on_hint: Callable[[object], None] = lambda _: None
@@ -253,6 +256,7 @@
             self.peer_state_ok[node] = self.clock()
         elif "sok" in m:
             self.peer_state_ok.pop(node, None)
+        self.on_about(node, m)
         ok = False
         more: dict = {}
         if kind == "ping":
@@ -285,11 +289,13 @@
             ok, more = True, self.on_told(m)
         beats = self.beats_seen if self.clock() - self.last_beat < 3.0 else 0
         return {
-            "ok": ok, "sok": self.store.fresh(), "top": self.promise.token, "beats": beats, "want": self.want(), **more,
+            "ok": ok, "sok": self.store.fresh(), "top": self.promise.token, "beats": beats, "want": self.want(),
+            **self.about(), **more,
         }  # fmt: skip
 
     def _note(self, peer: Peer, answer: dict) -> None:
         self.peer_heard[peer.name] = self.clock()
+        self.on_about(peer.name, answer)
         if answer.get("sok"):
             self.peer_state_ok[peer.name] = self.clock()
         else:
@@ -302,7 +308,7 @@
         leading = self.role.leads()
         token = self.token if leading else 0
         sent = self.clock()
-        message = {"t": "ping", "n": self.me, "tok": token, "sok": self.store.fresh()}
+        message = {"t": "ping", "n": self.me, "tok": token, "sok": self.store.fresh(), **self.about()}
         if leading and hint is not None:
             message["hint"] = hint
         if leading:
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -8,27 +8,28 @@
 
 import msgspec
 
-from hookwall import peers, server, wire
+from hookwall import formats, peers, server, wire
 from hookwall import store as st
 from hookwall.cancellations import Cancellations
 from hookwall.cloud import CloudClient, Renting
 from hookwall.fleet import Fleet
-from hookwall.jobs import Active, Job, JobTable, UserApi, write_order
+from hookwall.formats import FormatGate
+from hookwall.job_writer import JobWriter
+from hookwall.jobs import Active, Job, JobTable
 from hookwall.keeper import Keeper
 from hookwall.leadership import Leadership, Role
 from hookwall.peers import Peer
 from hookwall.scheduler import Scheduler
 from hookwall.settings import Settings, address
 from hookwall.store import Confirmer, Conflict, Refused, Store, TooOld, Unknown
+from hookwall.user_api import UserApi
 from hookwall.wire import BadMessage, Beat, Catalog
 
 log = logging.getLogger("hookwall.node")
 
 ROUND_EVERY_S = 0.5
 ROUND_GAP_S = 0.1
-WRITE_GAP_S = 0.05
 WATCH_S = 3.0  # a watch that is quiet for long says nothing about how current this node is
-BATCH_BYTES = 56 * 1024
 
 
 class Node:
@@ -65,7 +66,15 @@
         self.keeper = Keeper(
             settings.node_name, self.leadership, self.store, self.table, self.cancellations.may_renew, clock
         )
-        self.keep_keys = [st.KEEP + seed.node_name for seed in settings.seeds]
+        peer_names = [seed.node_name for seed in settings.seeds]
+        self.formats = FormatGate(settings.node_name, peer_names, self.store)
+        self.writer = JobWriter(
+            self.table, self.store, self.leadership, self.fleet.kept, [st.KEEP + n for n in peer_names], clock
+        )
+        self.writer.refresh, self.writer.on_stored = self._refresh, self._stored
+        self.writer.new_formats = self.keeper.new_formats = self.api.new_formats = self.formats.ready
+        self.api.current = self.cancellations.records_current
+        self.leadership.about, self.leadership.on_about = self._about, self._on_about
         self.leadership.want, self.leadership.lend = self.store.want.now, self.store.lend
         self.leadership.on_lent = self.store.borrow
         self.leadership.say, self.leadership.reply = self.cancellations.say, self.cancellations.reply
@@ -78,7 +87,6 @@
         self.loaded = False
         self.no_catalog = False  # whether nobody had ever stored the machine types when this node took over
         self.wake = asyncio.Event()
-        self.write_wake = asyncio.Event()
         self.fleet.wake = self.wake.set
         self.epoch = 0  # up to which the watch has told of all changes
         self.scanned = 0  # the same of the last full read by a new leader
@@ -88,6 +96,20 @@
     async def _refresh(self, key: str) -> None:
         await self.api.refresh(key)
 
+    def _stored(self) -> None:
+        """Decisions were stored: starts can be launched, and others may be ready."""
+        self.wake.set()
+
+    def _about(self) -> dict:
+        """What this node says of itself in each message to its peers."""
+        return {"format": formats.CURRENT, "lowered": self.store.lowered_seen()}
+
+    def _on_about(self, node: str, message: dict) -> None:
+        """What a peer says of itself; older programs say nothing."""
+        self.formats.heard(node, message.get("format"))
+        if message.get("lowered") is True:
+            self.store.lower(f"{node} says so")
+
     def _take_key(self, key: str, value: Any, stamp: int) -> None:
         if key.startswith(st.JOBS):
             self.table.apply(key, value, stamp)
@@ -96,12 +118,27 @@
                 self.leadership.saw_key(value, stamp)
         elif key.startswith(st.KEEP):
             self.fleet.kept.take(key, value, stamp)
+        elif key.startswith(st.PARTS):
+            self.table.take_part(key, value)
+        elif key.startswith(st.FORMAT):
+            self.formats.saw(key, value)
         elif key == st.CATALOG and not self.leadership.valid():
             try:
                 self._set_catalog(wire.convert(value, Catalog))
             except BadMessage as e:
                 log.error("stored catalog is malformed: %s", e)
 
+    def _take_deletion(self, key: str, stamp: int) -> None:
+        """A key is gone."""
+        if key == st.LEADER and stamp > self.leadership.key_stamp:
+            self.leadership.saw_key({}, 0)
+        elif key.startswith(st.PARTS):
+            self.table.parts.remove(key)
+        elif key.startswith(st.KEEP):
+            known = self.fleet.kept.keys.get(key)
+            if known is not None and stamp > known[0]:
+                self.fleet.kept.take(key, None, 0)
+
     def _set_catalog(self, catalog: Catalog) -> None:
         self.api.catalog = catalog
         self.fleet.set_catalog(catalog)
@@ -130,6 +167,8 @@
         for key, value, stamp in found:
             if key != st.LEADER:
                 self._take_key(key, value, stamp)
+        for ref in list(self.table.parts.incomplete):
+            await self._refresh(st.JOBS + ref)  # its parts were replaced while the keys were read
         self.scanned = epoch
         self.cancellations.complete = True
         self.cancellations.read(sent)
@@ -159,12 +198,8 @@
                         continue
                     if isinstance(e.get("set"), str):
                         self._take_key(e["set"], e.get("value"), stamp)
-                    elif e.get("delete") == st.LEADER and stamp > self.leadership.key_stamp:
-                        self.leadership.saw_key({}, 0)
-                    elif isinstance(e.get("delete"), str) and e["delete"].startswith(st.KEEP):
-                        known = self.fleet.kept.keys.get(e["delete"])
-                        if known is not None and stamp > known[0]:
-                            self.fleet.kept.take(e["delete"], None, 0)
+                    elif isinstance(e.get("delete"), str):
+                        self._take_deletion(e["delete"], stamp)
                 self.epoch = epoch
                 self.cancellations.read(sent)
                 await asyncio.sleep(0.1 if self.leadership.role is Role.LEADER else 0.25)
@@ -200,102 +235,6 @@
             log.info("could not store the catalog: %s", type(e).__name__)
             self.api.catalog = old
 
-    # -- writing -------------------------------------------------------------------------------
-
-    async def write_loop(self) -> None:
-        """Store decisions: many jobs in one conditional write, each conditional on its own stamp too."""
-        while True:
-            await asyncio.sleep(WRITE_GAP_S)
-            jobs: list[Job] = []
-            if self.leadership.valid():
-                jobs = write_order(self.table.open.values(), self.clock(), self.store.spare())
-            if not jobs:
-                self.write_wake.clear()
-                try:
-                    async with asyncio.timeout(0.5):
-                        await self.write_wake.wait()
-                except TimeoutError:
-                    pass
-                continue
-            await self._write(jobs)
-
-    async def _write(self, jobs: list[Job]) -> None:
-        token = self.leadership.token
-        batch: list[tuple[Job, dict, dict[int, tuple[str, int]], str, int, bool, float]] = []
-        size = 200
-        for job in jobs[: self.store.batch()]:
-            record = job.record()
-            n = len(msgspec.json.encode(record)) + 200
-            if batch and size + n > BATCH_BYTES:
-                break
-            size += n
-            on = {a.task: (a.machine, a.attempt) for a in job.active.values()}
-            batch.append((job, record, on, job.phase, job.n_done, job.fresh, job.dirty_at))
-            job.dirty, job.fresh, job.dirty_at, job.writing = False, False, -1.0, True
-        keepers = self.fleet.kept.conditions(self.keep_keys)
-        when = [(st.LEADER, token), *keepers, *((st.JOBS + j.ref, j.stamp) for j, *_ in batch)]
-        put = [(st.JOBS + j.ref, r) for j, r, *_ in batch]
-        stamp = 0
-        conflict: list[str] = []
-        try:
-            stamp = await self.store.commit(when, put)
-        except Conflict as c:
-            conflict = c.failed
-        except (Refused, Unknown) as e:
-            log.debug("write of %d jobs: %s", len(batch), e)
-        same = self.leadership.token == token and self.leadership.role is Role.LEADER
-        for job, raw, on, phase, done, fresh, since in batch:
-            job.writing = False
-            if not same:
-                continue
-            if stamp:
-                job.stored(stamp, on, phase, done, raw)
-                if job.final() and phase != "open":
-                    log.info("%s is %s", job.ref, phase)
-                self.table.note(job)
-            else:
-                job.dirty = True
-                job.fresh, job.dirty_at = job.fresh or fresh, since
-            if job.parked is not None:
-                value, at = job.parked
-                job.parked = None
-                self.table.apply(st.JOBS + job.ref, value, at)
-        if not same:
-            return
-        if st.LEADER in conflict:
-            self.leadership.step_down("a write was refused: the leader key has changed")
-            return
-        changed = [key for key in conflict if key in self.keep_keys]
-        if changed:
-            await self._keepers_changed(changed)
-        for key in conflict:
-            if key in changed:
-                continue
-            try:
-                await self._refresh(key)
-            except (Refused, Unknown) as e:
-                log.debug("refresh of %s: %s", key, e)
-        if stamp:
-            self.wake.set()
-        elif not conflict:
-            await asyncio.sleep(0.2)
-
-    async def _keepers_changed(self, keys: list[str]) -> None:
-        """A follower keeps leases that this leader did not know of: what it believed to be over may not be."""
-        log.info("keepers have changed; decisions that are not stored are void")
-        for key in keys:
-            try:
-                got = await self.store.get(key)
-            except (Refused, Unknown):
-                continue
-            if got is not None:
-                self.fleet.kept.take(key, *got)
-            elif key in self.fleet.kept.keys:
-                self.fleet.kept.take(key, None, 0)
-            else:
-                self.fleet.kept.missed()
-        self.table.revert()
-
     # -- leading -------------------------------------------------------------------------------
 
     def _role(self, role: Role) -> None:
@@ -323,7 +262,7 @@
         orders = self.fleet.report(b)
         if orders is None:
             return 503, b"{}"
-        self.write_wake.set()
+        self.writer.wake.set()
         return 200, msgspec.json.encode(wire.BeatAnswer(lead.token, orders))
 
     async def beat(self, body: bytes) -> tuple[int, bytes]:
@@ -368,7 +307,7 @@
                 self.fleet.expire(self.clock())
                 if self.fleet.catalog is not None and self.scheduler.round():
                     self.wake.set()
-                self.write_wake.set()
+                self.writer.wake.set()
             except Exception:
                 log.exception("round failed")
             took = self.clock() - began
@@ -401,7 +340,8 @@
         loops = {
             "watch": self.watch_loop,
             "confirm": self.confirmer.run,
-            "write": self.write_loop,
+            "write": self.writer.run,
+            "formats": self.formats.run,
             "round": self.round_loop,
             "ping": lead.ping_loop,
             "probe": lead.probe_loop,
--- /dev/null
+++ b/hookwall/records.py
@@ -0,0 +1,206 @@
+"""Encoding of job records for the state service.
+
+A record is one value below `hookwall/job/`. Its *plain* form is the one that every version reads. A
+record that does not fit a value is *packed*: the description and the changing state are compressed,
+and whatever does not fit beside the rest goes into *parts*, values of their own below
+`hookwall/part/<job>/`. A part is named after its content and never changes, so a write of it that is
+carried out late or twice does no harm. A record is written in the same transaction as its new parts,
+or after them; either way a record that can be read names parts that are there.
+"""
+
+import hashlib
+import zlib
+from base64 import b64decode, b64encode
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from hookwall.wire import JobSpec
+
+PARTS = "hookwall/part/"
+LIMIT_SHARE = 0.9  # of a value's size limit: the service may count other white space than we write
+LIMIT_MARGIN = 64  # bytes; a cancellation changes the phase of a record in place
+PART_NAME_BYTES = 12
+FRAME_BYTES = 64  # of JSON around the packed texts
+MOST_UNPACKED = 4 * 1024 * 1024  # bytes; more than any legal record has
+
+
+class MalformedRecord(Exception):
+    """A stored record can't be read."""
+
+
+class RecordTooLarge(Exception):
+    """No form of the record fits the service's limits."""
+
+
+@dataclass(slots=True)
+class MissingParts(Exception):
+    """The record names parts that are not known (yet)."""
+
+    keys: list[str]
+
+
+Start = tuple[str, int, int, str]  # machine, tenure, attempt, task numbers as ranges
+
+
+class JobRecord(msgspec.Struct, kw_only=True, omit_defaults=True):
+    """What is stored about a job. `ended` is the time of day at which its last task was found done."""
+
+    phase: str = "open"
+    tasks: int = msgspec.field(name="n", default=0)
+    next_attempt: int = msgspec.field(name="next", default=1)
+    on: list[Start] = []
+    spec: JobSpec | None = None
+    at: float | None = None
+    done: str | None = None
+    ended: float | None = None
+
+
+@dataclass(slots=True)
+class Encoded:
+    """A record as it is written: the value of its own key, and the parts that the value names."""
+
+    value: dict[str, Any]
+    parts: dict[str, str] = field(default_factory=dict)
+
+
+def pack_numbers(numbers: Iterable[int]) -> str:
+    """Ascending task numbers as ranges: `0-3,7`. A job of 100,000 tasks has to fit one value."""
+    out: list[str] = []
+    start = last = -2
+    for number in sorted(numbers):
+        if number == last + 1:
+            last = number
+            continue
+        if start >= 0:
+            out.append(f"{start}-{last}" if last > start else f"{start}")
+        start = last = number
+    if start >= 0:
+        out.append(f"{start}-{last}" if last > start else f"{start}")
+    return ",".join(out)
+
+
+def unpack_numbers(text: str) -> list[int]:
+    """The numbers that `pack_numbers` wrote."""
+    out: list[int] = []
+    for part in text.split(",") if text else ():
+        first, _, last = part.partition("-")
+        out.extend(range(int(first), int(last or first) + 1))
+    return out
+
+
+def value_limit(value_kb: float) -> int:
+    """How many bytes of JSON a value may have, with some room left."""
+    return max(256, int(value_kb * 1024 * LIMIT_SHARE) - LIMIT_MARGIN)
+
+
+def compress(value: object) -> str:
+    """Any JSON value as a short text without characters that JSON escapes."""
+    return b64encode(zlib.compress(msgspec.json.encode(value), 6)).decode()
+
+
+def decompress(text: str, kind: Any) -> Any:
+    """The value that `compress` wrote, as the given type; MalformedRecord for anything else."""
+    try:
+        stream = zlib.decompressobj()
+        raw = stream.decompress(b64decode(text, validate=True), MOST_UNPACKED)
+        if not stream.eof:
+            raise MalformedRecord("packed text is cut off or too long")
+        return msgspec.json.decode(raw, type=kind)
+    except (ValueError, zlib.error, msgspec.DecodeError) as error:
+        raise MalformedRecord(str(error)) from None
+
+
+def plain(record: JobRecord) -> dict[str, Any]:
+    """The form that every version reads; it says `on` even where it is empty."""
+    value = msgspec.to_builtins(record)
+    value.setdefault("n", record.tasks)
+    value.setdefault("phase", record.phase)
+    value.setdefault("next", record.next_attempt)
+    value.setdefault("on", [])
+    return value
+
+
+def size(value: object) -> int:
+    """Bytes of a value's JSON."""
+    return len(msgspec.json.encode(value))
+
+
+def part_key(ref: str, text: str) -> str:
+    """The key of a part, named after its content."""
+    return f"{PARTS}{ref}/{hashlib.blake2b(text.encode(), digest_size=PART_NAME_BYTES).hexdigest()}"
+
+
+def _split(ref: str, text: str, limit: int) -> dict[str, str]:
+    """A text as parts that fit, in order."""
+    step = limit - FRAME_BYTES
+    pieces = [text[i : i + step] for i in range(0, len(text), step)]
+    return {part_key(ref, piece): piece for piece in pieces}
+
+
+def _names(parts: dict[str, str]) -> list[str]:
+    return [key.rpartition("/")[2] for key in parts]
+
+
+def encode(ref: str, record: JobRecord, limit: int | None) -> Encoded:
+    """The shortest form that fits `limit` bytes a value; None: the plain form, whatever its size."""
+    value = plain(record)
+    if limit is None or size(value) <= limit:
+        return Encoded(value)
+    head: dict[str, Any] = {"phase": record.phase, "n": record.tasks, "next": record.next_attempt}
+    if record.ended is not None:
+        head["ended"] = record.ended
+    fixed = compress([record.spec, record.at])
+    state = compress([record.on, record.done])
+    room = limit - size(head) - FRAME_BYTES
+    if len(fixed) + len(state) <= room:
+        return Encoded({**head, "packed": {"fixed": fixed, "state": state}})
+    # The description never changes, so its parts are written once.
+    parts = _split(ref, fixed, limit)
+    names = _names(parts)
+    room -= size(names)
+    if len(state) <= room:
+        return Encoded({**head, "packed": {"fixed": names, "state": state}}, parts)
+    more = _split(ref, state, limit)
+    if size(_names(more)) > room:
+        raise RecordTooLarge(ref)
+    return Encoded({**head, "packed": {"fixed": names, "state": _names(more)}}, {**parts, **more})
+
+
+def part_keys(ref: str, value: object) -> list[str]:
+    """The keys of the parts that a stored value names."""
+    packed = value.get("packed") if isinstance(value, dict) else None
+    if not isinstance(packed, dict):
+        return []
+    keys: list[str] = []
+    for names in (packed.get("fixed"), packed.get("state")):
+        if isinstance(names, list):
+            keys.extend(f"{PARTS}{ref}/{name}" for name in names)
+    return keys
+
+
+def decode(ref: str, value: object, part: Callable[[str], str | None]) -> JobRecord:
+    """A stored record in any form. `part` gives a part's text, or None if it is not known."""
+    missing = [key for key in part_keys(ref, value) if part(key) is None]
+    if missing:
+        raise MissingParts(missing)
+    try:
+        record = msgspec.convert(value, JobRecord)
+        packed = value.get("packed") if isinstance(value, dict) else None
+        if isinstance(packed, dict):
+            record.spec, record.at = _unpack(ref, packed["fixed"], part, tuple[JobSpec | None, float | None])
+            record.on, record.done = _unpack(ref, packed["state"], part, tuple[list[Start], str | None])
+        return record
+    except (msgspec.ValidationError, KeyError, TypeError) as error:
+        raise MalformedRecord(str(error)) from None
+
+
+def _unpack(ref: str, text: object, part: Callable[[str], str | None], kind: Any) -> Any:
+    """One packed text, inline or in parts."""
+    if isinstance(text, list):
+        text = "".join(part(f"{PARTS}{ref}/{name}") or "" for name in text)
+    if not isinstance(text, str):
+        raise MalformedRecord("packed text is missing")
+    return decompress(text, kind)
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -158,7 +158,7 @@
         """Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs."""
         out: set[str] = set()
         want: dict[int, Usage] = {}
-        for job in sorted(self.table.open.values(), key=lambda j: (j.at, j.ref)):
+        for job in sorted(self.table.open.values(), key=lambda j: (j.arrival, j.ref)):
             if job.phase != OPEN or job.spec is None or not 0 <= job.team < len(self.limits):
                 continue
             team = self.limits[job.team]
@@ -199,7 +199,7 @@
             if not job.pending(1) or (job.spec.gang and job.active):
                 self.waiting.pop(job.ref, None)
                 continue
-            queue.append(((job.ref not in firm, job.rank, job.at, job.ref), job))
+            queue.append(((job.ref not in firm, job.rank, job.arrival, job.ref), job))
         queue.sort(key=lambda q: q[0])
         for ref in [r for r in self.waiting if r not in self.table.open]:
             del self.waiting[ref]
@@ -234,6 +234,7 @@
         for job in list(self.table.open.values()):
             if job.phase == OPEN and job.spec is not None and job.tasks and job.n_done >= job.tasks:
                 job.phase = DONE
+                job.ended = self.wall()
                 job.dirty = True
             broken = job.spec is not None and job.spec.gang and 0 < len(job.active) < job.tasks
             if job.phase == OPEN and broken and not job.n_done:
@@ -392,7 +393,7 @@
         assert w.job.spec is not None
         if now - w.served > STARVES_S:
             return False
-        if self.wall() - w.job.at + fetch > self.last_start.get(w.job.spec.job_class, math.inf):
+        if self.wall() - w.job.arrival + fetch > self.last_start.get(w.job.spec.job_class, math.inf):
             return False
         if w.declined < 0:
             w.declined = now
@@ -759,4 +760,4 @@
 
 def needy(waiting: dict[str, Waiting]) -> list[Waiting]:
     """Waiting jobs in the order in which the cloud slice rents for them."""
-    return sorted(waiting.values(), key=lambda w: (w.job.rank, w.job.at, w.job.ref))
+    return sorted(waiting.values(), key=lambda w: (w.job.rank, w.job.arrival, w.job.ref))
--- a/hookwall/server.py
+++ b/hookwall/server.py
@@ -17,7 +17,7 @@
 from aiohttp.streams import StreamReader
 
 from hookwall import wire
-from hookwall.jobs import LATER, Answer, UserApi
+from hookwall.user_api import LATER, Answer, UserApi
 
 log = logging.getLogger("hookwall.server")
 
--- a/hookwall/settings.py
+++ b/hookwall/settings.py
@@ -51,11 +51,37 @@
     cancel_s: float
 
 
+class NextState(msgspec.Struct, frozen=True):
+    """Limits that the state service will have from some moment on; what is not named stays."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class State(msgspec.Struct, frozen=True):
+    """Limits of the state service."""
+
     rps: float
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextState | None = None
+
+    def least_txn_ops(self) -> int:
+        """Changes a transaction that are allowed now and later."""
+        return self.txn_ops if self.next is None else min(self.txn_ops, self.next.txn_ops or self.txn_ops)
+
+    def least_value_kb(self) -> float:
+        """KiB a value that are allowed now and later."""
+        return self.value_kb if self.next is None else min(self.value_kb, self.next.value_kb or self.value_kb)
+
+    def rates(self, lowered: bool) -> tuple[float, float]:
+        """Requests and changes a second, before or after the limits have changed."""
+        if self.next is None or not lowered:
+            return self.rps, self.write_rps
+        return self.next.rps or self.rps, self.next.write_rps or self.write_rps
 
 
 class Cloud(msgspec.Struct, frozen=True):
@@ -120,6 +146,11 @@
         "state.txn_ops": p.state.txn_ops,
         "cloud.rps": p.cloud.rps,
     }
+    later = p.state.next
+    for name in later.__struct_fields__ if later is not None else ():
+        value = getattr(later, name)
+        if value is not None:
+            positive[f"state.next.{name}"] = value
     for name, value in positive.items():
         if not (math.isfinite(value) and value > 0):
             raise BadSettings(f"settings.{name}: must be a positive number, is {value}")
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -15,10 +15,12 @@
 import msgspec
 
 from hookwall.client import NoAnswer, call, open_session
+from hookwall.records import value_limit
 from hookwall.settings import State
 
 log = logging.getLogger("hookwall.store")
 
+NO_SUCH_LEASE = "no such lease"
 MOST_WAIT_S = 1.0
 FRESH_S = 1.5
 LEADS = (0.66, 0.76)  # a leader's share of requests and of changes; followers store new jobs and cancellations only
@@ -31,12 +33,18 @@
 LEADER = ROOT + "leader"
 CATALOG = ROOT + "catalog"
 KEEP = ROOT + "keep/"
+FORMAT = ROOT + "format/"
+PARTS = ROOT + "part/"
 
 
 class Refused(Exception):
     """The service answered that it did not execute the request (503, 429)."""
 
 
+class TooLarge(Refused):
+    """A value or a transaction is over the service's limits; it was not executed."""
+
+
 class Unknown(Exception):
     """No usable answer: the request may have been executed, or may be later."""
 
@@ -107,6 +115,9 @@
     def __init__(self, address: str, limits: State, nodes: int, clock: Callable[[], float]) -> None:
         self.base = f"http://{address}"
         self.limits = limits
+        # What is written fits the limits of now and those that come without notice.
+        self.txn_ops, self.value_limit = limits.least_txn_ops(), value_limit(limits.least_value_kb())
+        self.lowered = limits.next is None  # whether the limits to come are in force, as far as this node has seen
         self.clock = clock
         self.session: aiohttp.ClientSession | None = None
         self.call = call  # tests put a stand-in here
@@ -153,7 +164,22 @@
         return sum(lent[i] for lent, _ in self.lent.values())
 
     def _buckets(self) -> tuple[tuple[Bucket, float], tuple[Bucket, float]]:
-        return (self.requests, self.limits.rps), (self.writes, self.limits.write_rps)
+        rates = self.limits.rates(self.lowered)
+        return (self.requests, rates[0]), (self.writes, rates[1])
+
+    def lowered_seen(self) -> bool:
+        """Whether limits to come have been seen to be in force."""
+        return self.lowered and self.limits.next is not None
+
+    def lower(self, why: str) -> None:
+        """The limits to come are in force: keep to their pace from now on."""
+        if self.lowered:
+            return
+        log.info("state service: lower limits are in force (%s)", why)
+        self.lowered = True
+        self._pace()
+        for bucket, _ in self._buckets():
+            bucket.level = min(bucket.level, 0.0)  # what was sent just now has used up this second
 
     def lend(self, peer: str, want: object) -> list[float]:
         """What a follower may make beyond its own share, by what it said it wants. The leader makes so much less.
@@ -193,7 +219,7 @@
 
     def batch(self) -> int:
         """How many keys to put into one write: what the pace lets through in half a second."""
-        return max(1, min(self.limits.txn_ops, int(self.writes.rate * 0.5)))
+        return max(1, min(self.txn_ops, int(self.writes.rate * 0.5)))
 
     def spare(self) -> bool:
         """Whether changes are left over for what is not pressing."""
@@ -241,6 +267,7 @@
             self._bad("503")
             raise Refused("503")
         if status == 429:
+            self.lower("429")
             raise Refused("429")
         try:
             value = msgspec.json.decode(raw) if raw else {}
@@ -289,15 +316,19 @@
         put: list[tuple[str, object]] = (),
         hold: int | None = None,
         timeout: float = 1.5,
+        delete: list[str] = (),
     ) -> int:
-        """A conditional write (or, without `put`, a comparison); returns the epoch."""
+        """A conditional write (or, without `put` and `delete`, a comparison); returns the epoch."""
         body: dict[str, object] = {"when": [{"k": k, "stamp": s} for k, s in when]}
-        if put:
+        if put or delete:
             extra = {} if hold is None else {"hold": hold}
-            body["apply"] = [{"set": k, "value": v, **extra} for k, v in put]
-        status, got = await self._send("POST", "/commit", body, timeout, cost=float(len(put)))
+            body["apply"] = [{"set": k, "value": v, **extra} for k, v in put] + [{"delete": k} for k in delete]
+        status, got = await self._send("POST", "/commit", body, timeout, cost=float(len(put) + len(delete)))
         if status == 409:
             raise Conflict([k for k in got.get("failed", []) if isinstance(k, str)])
+        if status == 400 and got.get("error") != NO_SUCH_LEASE:
+            self.lower("400")
+            raise TooLarge(str(got.get("error", "400")))
         if status != 200 or not isinstance(got.get("epoch"), int):
             raise Unknown(f"commit: status {status} {got.get('error', '')}")
         return got["epoch"]
@@ -337,7 +368,7 @@
     def __init__(self, store: Store, refresh: Callable[[str], Awaitable[None]]) -> None:
         self.store = store
         self.refresh = refresh
-        self.most = max(1, store.limits.txn_ops * 4 - 1)
+        self.most = max(1, store.limits.least_txn_ops() * 4 - 1)
         self.waiting: dict[str, tuple[int, list[asyncio.Future]]] = {}
         self.wake = asyncio.Event()
 
--- a/hookwall/wire.py
+++ b/hookwall/wire.py
@@ -50,6 +50,7 @@
     types: list[str] | None = msgspec.field(name="hulls", default=None)
     zone: str | None = msgspec.field(name="yard", default=None)
     due_s: Amount | None = msgspec.field(name="dueS", default=None)
+    needs: list[str] | None = msgspec.field(name="awaits", default=None)  # jobs that have to be done before
 
     @property
     def gang(self) -> bool:
@@ -89,7 +90,11 @@
             raise BadMessage("an amount is not finite")
     if spec.cpus == 0 and spec.gpus == 0:
         raise BadMessage("cores: a task takes neither cores nor cards")
-    return spec
+    if spec.needs is None:
+        return spec
+    if not all(REF.match(name) for name in spec.needs):
+        raise BadMessage("awaits: not a list of job ids")
+    return msgspec.structs.replace(spec, needs=list(dict.fromkeys(spec.needs)) or None)
 
 
 class TaskReport(msgspec.Struct):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 from hookwall import wire
 from hookwall.fleet import Fleet
 from hookwall.jobs import JobTable
+from hookwall.records import value_limit
 from hookwall.scheduler import Scheduler
 from hookwall.settings import Cloud, MachineLimits, Params, State, Team, Workers
 from hookwall.store import Conflict, Refused, Unknown
@@ -29,11 +30,15 @@
 
     def __init__(self, limits: State) -> None:
         self.limits = limits
+        self.txn_ops, self.value_limit = limits.least_txn_ops(), value_limit(limits.least_value_kb())
         self.keys: dict[str, tuple[object, int]] = {}
         self.epoch = 0
         self.mode = "ok"  # ok | down | lost (not executed, no answer) | ghost (executed, no answer)
         self.requests: list[str] = []
 
+    def batch(self) -> int:
+        return self.txn_ops
+
     def healthy(self) -> bool:
         return self.mode != "down"
 
@@ -59,16 +64,18 @@
         self._enter("scan")
         return [(k, v, s) for k, (v, s) in sorted(self.keys.items()) if k.startswith(prefix)], self.epoch
 
-    async def commit(self, when, put=(), hold=None, timeout=1.5):
-        self._enter("commit" if put else "compare")
+    async def commit(self, when, put=(), hold=None, timeout=1.5, delete=()):
+        self._enter("commit" if put or delete else "compare")
         await asyncio.sleep(0)
         failed = [k for k, s in when if self.keys.get(k, (None, 0))[1] != s]
         if failed:
             raise Conflict(failed)
-        if put:
+        if put or delete:
             self.epoch += 1
             for k, v in put:
                 self.keys[k] = (v, self.epoch)
+            for k in delete:
+                self.keys.pop(k, None)
         if self.mode == "ghost":
             raise Unknown("timeout")
         return self.epoch
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from hookwall.records import plain
+
 
 def started(cluster, n=1, machine="vm-1", **changes):
     """A job whose tasks were placed on one machine, stored, launched and are running."""
@@ -132,7 +134,7 @@
 
 def test_cancelled_tasks_are_stopped_and_counted_until_gone(cluster):
     job = started(cluster)
-    record = job.record()
+    record = plain(job.record())
     cluster.stamp += 1
     cluster.table.apply("hookwall/job/" + job.ref, {**record, "phase": "withdrawn"}, cluster.stamp)
     assert cluster.scheduler.picture(cluster.clock()).usage[job.team].gpus == 1.0
@@ -147,7 +149,7 @@
     cluster.scheduler.round()
     cluster.store()
     cluster.stamp += 1
-    cluster.table.apply("hookwall/job/" + job.ref, {**job.record(), "phase": "withdrawn"}, cluster.stamp)
+    cluster.table.apply("hookwall/job/" + job.ref, {**plain(job.record()), "phase": "withdrawn"}, cluster.stamp)
     assert cluster.beat("vm-1") == []
     assert not job.active
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -6,8 +6,10 @@
 import pytest
 from conftest import CATALOG, description
 
-from hookwall.jobs import JobTable, UserApi, pack, unpack, write_order
+from hookwall.jobs import JobTable, write_order
+from hookwall.records import pack_numbers, plain, unpack_numbers
 from hookwall.store import Confirmer
+from hookwall.user_api import UserApi
 
 
 class Nodes:
@@ -213,8 +215,8 @@
 
 def test_ranges_round_trip_and_stay_small():
     for numbers in ([], [0], [3, 4, 5], [0, 2, 4, 5, 6, 99_999]):
-        assert unpack(pack(numbers)) == numbers
-    assert pack(range(100_000)) == "0-99999"
+        assert unpack_numbers(pack_numbers(numbers)) == numbers
+    assert pack_numbers(range(100_000)) == "0-99999"
 
 
 def test_a_record_of_100_000_tasks_fits_a_value(cluster, params):
@@ -224,7 +226,7 @@
     for _ in range(5):
         cluster.scheduler.round()
     assert job.active
-    assert len(json.dumps(job.record())) < params.state.value_kb * 1024
+    assert len(json.dumps(plain(job.record()))) < params.state.value_kb * 1024
 
 
 def test_starts_are_stored_before_ends_that_nobody_waits_for(cluster):
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -10,6 +10,7 @@
 from hookwall.jobs import JobTable
 from hookwall.keeper import Keeper, Kept
 from hookwall.leadership import Leadership
+from hookwall.records import plain
 from hookwall.store import Conflict
 
 
@@ -96,7 +97,7 @@
     with pytest.raises(Conflict):
         asyncio.run(state.commit([(st.LEADER, 7), *cluster.fleet.kept.conditions(keys)], [("x", 1)]))
     cluster.fleet.kept.take(keys[0], *state.keys[keys[0]])
-    job.raw = {**job.record(), "on": [["vm-1", 1, 1, "0"]]}
+    job.raw = {**plain(job.record()), "on": [["vm-1", 1, 1, "0"]]}
     cluster.table.revert()
     cluster.fleet.expire(clock())
     assert job.active[0].machine == "vm-1" and not job.dirty
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -4,6 +4,7 @@
 import pytest
 
 from hookwall import scheduler as sched
+from hookwall.records import plain
 from hookwall.settings import MachineLimits
 
 
@@ -412,7 +413,7 @@
 
 def test_tasks_on_machines_that_only_records_name_count_in_every_zone(cluster):
     job = cluster.submit(1, pieces=4, spread=True)
-    record = {**job.record(), "on": [["vm-7", 1, 1, "0-1"]], "next": 2}
+    record = {**plain(job.record()), "on": [["vm-7", 1, 1, "0-1"]], "next": 2}
     cluster.stamp += 1
     cluster.table.apply("hookwall/job/" + job.ref, record, cluster.stamp)
     up(cluster, "vm-1", zone="east")
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -7,9 +7,10 @@
 import pytest
 from conftest import CATALOG, description
 
-from hookwall.jobs import JobTable, UserApi
+from hookwall.jobs import JobTable
 from hookwall.server import MOST_AT_ONCE, Door, listen
 from hookwall.store import Confirmer
+from hookwall.user_api import UserApi
 
 
 def talk(params, state, clock, script):
