--- a/hookwall/records.py
+++ b/hookwall/records.py
@@ -147,7 +147,10 @@
 def encode(ref: str, record: JobRecord, limit: int | None) -> Encoded:
     """The shortest form that fits `limit` bytes a value; None: the plain form, whatever its size."""
     value = plain(record)
-    if limit is None or size(value) <= limit:
+    if limit is None:
+        value.pop("ended", None)  # older programs drop it
+        return Encoded(value)
+    if size(value) <= limit:
         return Encoded(value)
     head: dict[str, Any] = {"phase": record.phase, "n": record.tasks, "next": record.next_attempt}
     if record.ended is not None:
