--- /dev/null
+++ b/tests/test_pipelines.py
@@ -0,0 +1,307 @@
+"""Dependent jobs among nodes, state service, workers and users: `too_early` and `orphaned` are checked all the time."""
+
+import asyncio
+
+import pytest
+from world import World, play
+
+from hookwall import store as st
+from hookwall.settings import NextState, State, Team
+
+SMALL = State(rps=150.0, write_rps=30.0, value_kb=16.0, txn_ops=12, next=NextState(write_rps=21.0, txn_ops=4))
+
+
+async def chain(w: World, first: int, length: int, run_s: float = 3.0, **changes) -> list[str]:
+    """Jobs one after the other, each needing the one before."""
+    refs: list[str] = []
+    for n in range(first, first + length):
+        refs.append(w.job(n, run_s=run_s, awaits=refs[-1:] or None, **changes))
+        await w.accepted(refs[-1])
+    return refs
+
+
+async def all_withdrawn(w: World, refs: list[str], node: str | None = None) -> bool:
+    answers = [await w.poll(node or w.random.choice(list(w.nodes)), ref) for ref in refs]
+    return all(status == 200 and phase == "withdrawn" for status, phase in answers)
+
+
+async def becomes_withdrawn(w: World, refs: list[str], within_s: float) -> None:
+    end = w.now() + within_s
+    while not await all_withdrawn(w, refs):
+        assert w.now() < end, "not all are told as cancelled"
+        await asyncio.sleep(1.0)
+
+
+async def becomes_done(w: World, refs: list[str], within_s: float) -> None:
+    end = w.now() + within_s
+    for ref in refs:
+        while (await w.poll(w.random.choice(list(w.nodes)), ref))[1] != "done":
+            assert w.now() < end, f"{ref} is not done"
+            await asyncio.sleep(1.0)
+
+
+# -- ready ----------------------------------------------------------------------------------------
+
+
+def test_jobs_run_one_after_the_other_through_changes_of_leader():
+    async def scenario(w: World) -> None:
+        refs = await chain(w, 1, 5, run_s=4.0, pieces=2)
+        for _ in range(3):
+            await asyncio.sleep(6.0)
+            lead = (await w.led()).settings.node_name
+            w.crash(lead)
+            w.start(lead)
+        await w.led()
+        await becomes_done(w, refs, 60.0)
+
+    play(scenario)
+
+
+def test_a_job_waits_for_all_that_it_needs_and_for_lost_tasks_of_them():
+    async def scenario(w: World) -> None:
+        one, two = w.job(1, run_s=10.0, pieces=2), w.job(2, run_s=3.0, shape="ensemble", pieces=2)
+        for ref in (one, two):
+            await w.accepted(ref)
+        last = w.job(3, run_s=3.0, awaits=[one, two, one])
+        await w.accepted(last)
+        await w.runs(one)
+        machine = next(worker for worker in w.workers.values() if any(p.startswith(one) for p in worker.tasks))
+        machine.hung = True
+        await becomes_done(w, [one, two, last], 80.0)
+
+    play(scenario)
+
+
+def test_late_reports_of_an_earlier_job_start_nothing_too_early():
+    async def scenario(w: World) -> None:
+        refs = await chain(w, 1, 2, run_s=8.0, pieces=3, ends={0: 2.0, 1: 4.0})
+        await asyncio.sleep(9.0)
+        copies = [body for worker in w.workers.values() for body in worker.sent[-6:]]
+        lead = w.leader().settings.node_name
+        w.crash(lead)
+        await w.led()
+        for body in copies:
+            await w.beat(w.leader().settings.node_name, body)
+        w.start(lead)
+        await becomes_done(w, refs, 60.0)
+
+    play(scenario)
+
+
+def test_a_job_that_waits_holds_nothing_and_asks_for_no_machine():
+    async def scenario(w: World) -> None:
+        w.cloud.room = 20
+        first = w.job(1, run_s=15.0, owner="red", cards=4.0)
+        await w.accepted(first)
+        wide = w.job(2, run_s=3.0, owner="red", cards=4.0, pieces=2, shape="ensemble", awaits=[first])
+        await w.accepted(wide)
+        before = len(w.workers)
+        # The team's limit is 8: what waits takes none of it.
+        other = w.job(3, run_s=5.0, owner="red", cards=4.0)
+        await w.accepted(other)
+        await w.runs(other)
+        assert wide not in w.leader().scheduler.waiting and len(w.workers) == before
+        await becomes_done(w, [first, other, wide], 60.0)
+
+    play(scenario, teams=[Team("red", gpus=8.0, gpus_max=8.0), Team("grey")])
+
+
+def test_earlier_jobs_take_the_rank_of_the_job_at_the_end():
+    async def scenario(w: World) -> None:
+        fill = w.job(1, run_s=40.0, pieces=16, rank="low")
+        await w.accepted(fill)
+        await w.runs(fill)
+        low = w.job(2, run_s=3.0, rank="low")
+        await w.accepted(low)
+        last = w.job(3, run_s=3.0, rank="urgent", awaits=[low])
+        await w.accepted(last)
+        # Room is made for the first although its own rank would have to wait.
+        await becomes_done(w, [low, last], 20.0)
+
+    play(scenario)
+
+
+# -- cancelled -------------------------------------------------------------------------------------
+
+
+def test_a_cancellation_reaches_all_that_need_the_job_and_no_others():
+    async def scenario(w: World) -> None:
+        a, x = w.job(1, run_s=60.0), w.job(2, run_s=3.0)
+        for ref in (a, x):
+            await w.accepted(ref)
+        b, c = w.job(3, awaits=[a]), w.job(4, awaits=[a, x])
+        for ref in (b, c):
+            await w.accepted(ref)
+        d, other = w.job(5, awaits=[b, c]), w.job(6, run_s=3.0, awaits=[x])
+        for ref in (d, other):
+            await w.accepted(ref)
+        assert await w.cancel(w.followers()[0], a) == (200, "withdrawn")
+        late = w.job(7, awaits=[x, d])
+        assert await w.submit(w.followers()[1], late) == 201
+        await becomes_withdrawn(w, [a, b, c, d, late], 10.0)
+        await becomes_done(w, [x, other], 20.0)
+
+    play(scenario)
+
+
+def test_a_job_that_names_one_that_was_cancelled_long_ago_is_accepted_as_cancelled():
+    async def scenario(w: World) -> None:
+        a = w.job(1, run_s=60.0)
+        await w.accepted(a)
+        await w.cancel("n0", a)
+        await asyncio.sleep(w.params.workers.cancel_s + 10.0)
+        b = w.job(2, awaits=[a])
+        for node in w.nodes:
+            assert await w.submit(node, b) in (200, 201)
+            assert await w.poll(node, b) == (200, "withdrawn")
+
+    play(scenario)
+
+
+def test_a_cancellation_that_is_answered_done_lets_those_after_it_go_on():
+    async def scenario(w: World) -> None:
+        refs = await chain(w, 1, 2)
+        await becomes_done(w, refs[:1], 20.0)
+        assert await w.cancel("n1", refs[0]) == (200, "done")
+        await becomes_done(w, refs, 20.0)
+
+    play(scenario)
+
+
+def test_cancellation_and_submission_of_the_dependent_at_the_same_moment_on_two_nodes():
+    async def scenario(w: World) -> None:
+        one, two = w.followers()
+        for n in range(1, 20, 2):
+            a = w.job(n, run_s=60.0)
+            await w.accepted(a, one)
+            b = w.job(n + 1, awaits=[a])
+            answers = await asyncio.gather(w.cancel(one, a), w.submit(two, b))
+            assert answers[0] == (200, "withdrawn")
+            await w.accepted(b, two)
+        await asyncio.sleep(1.0)
+        await becomes_withdrawn(w, [w.job_ref(n) for n in range(1, 21)], 20.0)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("trouble", ["outage", "leader ends", "refused", "zones apart"])
+def test_dependents_are_told_as_cancelled_in_time_whatever_follows_the_answer(trouble):
+    """A node that can't know is silent rather than say `pending` too late."""
+
+    async def scenario(w: World) -> None:
+        refs = await chain(w, 1, 8, run_s=100.0)
+        one, two = w.followers()
+        lead = w.leader().settings.node_name
+        if trouble == "refused":
+            w.service.refused.add(two)
+        if trouble == "zones apart":
+            w.apart |= {frozenset((lead, one)), frozenset((one, two))}
+            w.service.cut.add(two)
+        answer = await w.cancel(lead if trouble == "zones apart" else one, refs[0])
+        assert answer == (200, "withdrawn")
+        if trouble == "outage":
+            w.service.outage(True)
+        elif trouble == "leader ends":
+            w.crash(lead)
+        for _ in range(20):
+            await asyncio.sleep(2.5)
+            for ref in refs:
+                await w.poll(w.random.choice(list(w.nodes)), ref)  # the rule is checked on each answer
+        w.service.outage(False)
+        w.service.refused.clear()
+        w.service.cut.clear()
+        w.apart.clear()
+        await becomes_withdrawn(w, refs, 15.0)
+
+    play(scenario)
+
+
+def test_thousands_of_dependents_against_a_small_transaction_limit():
+    """They are stored at the service's pace; none is called pending too late meanwhile."""
+
+    async def scenario(w: World) -> None:
+        a = w.job(1, run_s=200.0)
+        await w.accepted(a)
+        refs = []
+        for n in range(2, 1502):
+            refs.append(w.job(n, awaits=[a]))
+            w.put_record(refs[-1])
+        await asyncio.sleep(3.0)
+        w.service.lower()
+        assert await w.cancel(w.followers()[0], a) == (200, "withdrawn")
+        for _ in range(30):
+            await asyncio.sleep(2.0)
+            for ref in w.random.sample(refs, 10):
+                await w.poll(w.random.choice(list(w.nodes)), ref)
+        await w.until(
+            lambda: all(w.service.keys[st.JOBS + ref][0]["phase"] == "withdrawn" for ref in refs), 60.0, "too slow"
+        )
+
+    play(scenario, state=SMALL)
+
+
+# -- what is refused --------------------------------------------------------------------------------
+
+
+def test_what_is_refused_and_what_is_known():
+    async def scenario(w: World) -> None:
+        a = w.job(1, run_s=3.0)
+        await w.accepted(a, "n0")
+        for n, awaits, status in (
+            (2, "run-000001", 400),
+            (3, ["run-1/2"], 400),
+            (4, [1], 400),
+            (5, ["run-000005"], 422),
+            (6, [a, "run-999999"], 422),
+            (7, [], 201),
+            (8, None, 201),
+            (9, [a, a], 201),
+        ):
+            ref = w.job(n, awaits=awaits) if status == 201 else None
+            spec = w.jobs[ref].spec if ref else w.description(n, awaits=awaits)
+            for node in w.nodes:
+                assert await w.ask(node, spec) in ((201, 200) if status == 201 else (status,)), (n, node)
+        # A repeat of an accepted submission is known, whatever it names.
+        again = {**w.jobs[w.job_ref(9)].spec, "awaits": ["run-999999"]}
+        assert [await w.ask(node, again) for node in w.nodes] == [200, 200, 200]
+
+    play(scenario)
+
+
+def test_a_long_list_of_names_that_nobody_has_submitted_costs_one_comparison():
+    async def scenario(w: World) -> None:
+        await asyncio.sleep(2.0)
+        node = w.followers()[0]
+        asked: list[int] = []
+        commit = w.nodes[node].store.commit
+
+        async def counted(when, *args, **kwargs):
+            asked.append(len(when))
+            return await commit(when, *args, **kwargs)
+
+        w.nodes[node].store.commit = counted
+        names = [f"run-{n}" for n in range(10**6, 10**6 + 4000)]
+        assert await w.ask(node, w.description(1, awaits=names)) == 422
+        assert sum(asked) < 2 * w.nodes[node].confirmer.most + 5
+
+    play(scenario)
+
+
+def test_the_longest_list_of_accepted_names_is_stored_and_runs():
+    async def scenario(w: World) -> None:
+        a = w.job(1, run_s=30.0)
+        await w.accepted(a)
+        names = [a]
+        for n in range(2, 1200):
+            names.append(w.job(n * 10**14 + n * n * 7919))
+            w.put_record(names[-1], {"phase": "done", "n": 1, "next": 2, "on": []})
+            w.jobs[names[-1]].done.add(0)
+        await asyncio.sleep(3.0)
+        w.service.lower()
+        last = w.job(5000, run_s=3.0, awaits=names)
+        await w.accepted(last, w.followers()[0], within_s=60.0)
+        await becomes_done(w, [a, last], 60.0)
+        parts = [k for k in w.service.keys if k.startswith(st.PARTS)]
+        await w.until(lambda: not any(k in w.service.keys for k in parts), 60.0, "parts stay for ever")
+
+    play(scenario, state=State(rps=150.0, write_rps=30.0, value_kb=16.0, txn_ops=12, next=NextState(value_kb=2.0)))
