--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -216,6 +216,27 @@
     play(scenario)
 
 
+def test_a_leader_whose_watch_stands_still_does_not_call_dependents_pending_for_ever():
+    """It learns from its peers that the first is cancelled, but not from the records what that means for others."""
+
+    async def scenario(w: World) -> None:
+        # The one that is cancelled waits itself: what its tasks do would make the leader read its record.
+        _, *refs = await chain(w, 1, 4, run_s=200.0)
+        lead = w.leader().settings.node_name
+        w.service.no_watch.add(lead)
+        await asyncio.sleep(1.0)
+        assert await w.cancel(w.followers()[0], refs[0]) == (200, "withdrawn")
+        answers = set()
+        for _ in range(30):
+            await asyncio.sleep(2.0)
+            answers |= {(await w.poll(lead, ref))[0] for ref in refs[1:]}
+        assert answers <= {200, 503} and 503 in answers
+        w.service.no_watch.clear()
+        await becomes_withdrawn(w, refs, 20.0)
+
+    play(scenario)
+
+
 def test_thousands_of_dependents_against_a_small_transaction_limit():
     """They are stored at the service's pace; none is called pending too late meanwhile."""
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,7 +6,8 @@
 
 from hookwall import store as st
 from hookwall.client import NoAnswer
-from hookwall.store import Bucket, Refused, Store, Unknown
+from hookwall.settings import NextState, State
+from hookwall.store import Bucket, Refused, Store, TooLarge, Unknown
 
 
 def test_a_refused_request_costs_nothing(clock):
@@ -105,3 +106,52 @@
     s = Store("h:1", params.state, 3, clock)
     s.session = object()
     assert asyncio.run(s.scan("a")) == ([("a", 1, 2)], 4)
+
+
+LOWER = State(
+    rps=100.0, write_rps=30.0, value_kb=16.0, txn_ops=12, next=NextState(write_rps=12.0, value_kb=2.0, txn_ops=4)
+)
+
+
+def answering(store: Store, *answers: tuple[int, bytes]) -> Store:
+    """The service gives these answers."""
+    left = list(answers)
+
+    async def call(session, method, url, body, timeout):
+        return left.pop(0)
+
+    store.call = call
+    return store
+
+
+def test_what_is_written_fits_the_limits_of_now_and_those_to_come(clock):
+    store = Store("h:1", LOWER, 3, clock)
+    store.lead(True)
+    assert store.txn_ops == 4 and store.batch() <= 4 and store.value_limit < 2048
+    assert Store("h:1", State(100.0, 30.0, 16.0, 12), 3, clock).txn_ops == 12
+
+
+@pytest.mark.parametrize("answer", [(429, b""), (400, b'{"error":"value too large"}')])
+def test_the_first_refusal_by_a_limit_sets_the_pace_of_the_limits_to_come(clock, answer):
+    store = answering(Store("h:1", LOWER, 3, clock), answer)
+    store.lead(True)
+    before = store.writes.rate
+    with pytest.raises(Refused):
+        asyncio.run(store.commit([], [("k", 1)]))
+    assert store.lowered_seen() and store.writes.rate == pytest.approx(before * 12.0 / 30.0)
+    stores = [store, *(Store("h:1", LOWER, 3, clock) for _ in range(2))]
+    for other in stores:
+        other.lower("a peer says so")
+    assert sum(s.writes.rate for s in stores) < 12.0
+    # The second that is used up is waited for; requests of leadership go on, a change waits its turn.
+    assert store.writes.level_now() <= 0.0 and store.requests.delay(1.0, 1.0) is not None
+
+
+def test_a_lease_that_has_ended_is_told_apart_from_a_size_that_is_refused(clock):
+    store = answering(Store("h:1", LOWER, 3, clock), (400, b'{"error":"no such lease"}'), (400, b'{"error":"size"}'))
+    with pytest.raises(Unknown):
+        asyncio.run(store.commit([], [("k", 1)], hold=7))
+    assert not store.lowered
+    with pytest.raises(TooLarge):
+        asyncio.run(store.commit([], [("k", 1)]))
+    assert store.lowered
--- a/tests/world.py
+++ b/tests/world.py
@@ -63,6 +63,7 @@
         self.serial = 0
         self.down = False
         self.refused: set[str] = set()  # nodes that get 503
+        self.no_watch: set[str] = set()  # nodes whose watches are never answered
         self.cut: set[str] = set()  # nodes whose requests get no answer
         self.late: Callable[[str, dict], float | None] = lambda node, body: None
         self.latency_s = 0.004
@@ -190,7 +191,7 @@
         give_up = self.world.now() + timeout
         while True:
             changes = [c for e, c in self.log if e > after]
-            if not self.blocked(node) and (changes or self.world.now() >= until):
+            if not self.blocked(node) and node not in self.no_watch and (changes or self.world.now() >= until):
                 return 200, {"epoch": self.epoch, "log": changes}
             if self.world.now() >= give_up:
                 raise NoAnswer("watch")
