--- a/hookwall/cancellations.py
+++ b/hookwall/cancellations.py
@@ -24,7 +24,7 @@
 import logging
 from collections.abc import Callable
 
-from hookwall import store as st
+from hookwall import keys
 from hookwall.clocks import DRIFT
 from hookwall.leadership import Leadership, Mode
 from hookwall.settings import Workers
@@ -158,7 +158,7 @@
     async def _key_unchanged(self) -> bool:
         """Whether the leader key is still as it is known here, seen after the cancellation was stored."""
         try:
-            await self.store.commit([(st.LEADER, self.lead.key_stamp)], timeout=SPREAD_S)
+            await self.store.commit([(keys.LEADER, self.lead.key_stamp)], timeout=SPREAD_S)
         except (Conflict, Refused, Unknown):
             return False
         return True
--- /dev/null
+++ b/hookwall/cloud_client.py
@@ -0,0 +1,83 @@
+"""Requests to the cloud."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+
+from hookwall import wire
+from hookwall.client import NoAnswer, call, open_session
+from hookwall.pacing import Bucket
+from hookwall.wire import BadMessage, Catalog, MachineList, Rented
+
+
+class Trouble(Exception):
+    """The cloud gave no usable answer."""
+
+
+class NoCapacity(Exception):
+    """The cloud has no such machine now."""
+
+
+class CloudClient:
+    """Requests to the cloud, paced below its limit."""
+
+    def __init__(self, address: str, rps: float, clock: Callable[[], float]) -> None:
+        self.base = f"http://{address}"
+        self.session: aiohttp.ClientSession | None = None
+        self.call = call  # tests put a stand-in here
+        self.bucket = Bucket(rps * 0.9, max(1.0, rps * 1.5), clock)
+
+    async def open(self) -> None:
+        self.session = open_session(8)
+
+    async def _send(self, method: str, path: str, body: object = None, timeout: float = 4.0) -> tuple[int, object]:
+        wait = self.bucket.delay(1.0)
+        if wait:
+            await asyncio.sleep(wait)
+        try:
+            status, raw = await self.call(self.session, method, self.base + path, body, timeout)
+            return status, msgspec.json.decode(raw) if raw else {}
+        except (NoAnswer, msgspec.DecodeError) as e:
+            raise Trouble(str(e)) from None
+
+    async def catalog(self) -> Catalog:
+        status, body = await self._send("GET", "/catalog")
+        if status != 200:
+            raise Trouble(f"status {status}")
+        return _as(body, Catalog)
+
+    async def machines(self) -> list[wire.Listed]:
+        found: list[wire.Listed] = []
+        after = ""
+        while True:
+            status, body = await self._send("GET", f"/hosts?after={after}&most=500" if after else "/hosts?most=500")
+            if status != 200:
+                raise Trouble(f"status {status}")
+            page = _as(body, MachineList)
+            found.extend(page.machines)
+            if not page.more or not page.machines:
+                return found
+            after = page.machines[-1].name
+
+    async def rent(self, hire: str, type_: str, zone: str, spot: bool, count: int) -> list[str]:
+        body = {"hire": hire, "hull": type_, "yard": zone, "loaners": spot, "count": count}
+        status, got = await self._send("POST", "/hosts", body)
+        if status == 200:
+            return _as(got, Rented).machines
+        if status == 503 and isinstance(got, dict) and got.get("error") == "no capacity":
+            raise NoCapacity
+        raise Trouble(f"status {status}")
+
+    async def delete(self, names: list[str]) -> None:
+        status, _ = await self._send("POST", "/hosts/delete", {"hosts": names})
+        if status != 200:
+            raise Trouble(f"status {status}")
+
+
+def _as(body: object, kind: type) -> object:
+    try:
+        return wire.convert(body, kind)
+    except BadMessage as e:
+        raise Trouble(f"malformed: {e}") from None
--- /dev/null
+++ b/hookwall/confirmer.py
@@ -0,0 +1,81 @@
+"""Confirmation of cached answers with the state service."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from hookwall.store import Conflict, Refused, Store, Unknown
+
+
+class Confirmer:
+    """Proves that cached versions are still current, many in one comparison.
+
+    An answer from a cache could be older than what another node has told the same user, so nothing
+    but a final state leaves a node unconfirmed.
+    """
+
+    def __init__(self, store: Store, refresh: Callable[[str], Awaitable[None]]) -> None:
+        self.store = store
+        self.refresh = refresh
+        self.most = max(1, store.limits.least_txn_ops() * 4 - 1)
+        self.waiting: dict[str, tuple[int, list[asyncio.Future]]] = {}
+        self.wake = asyncio.Event()
+
+    async def confirm(self, key: str, stamp: int) -> bool:
+        """True: the key still has this stamp. False: it was read again. Raises if neither is known."""
+        entry = self.waiting.get(key)
+        future: asyncio.Future = asyncio.get_running_loop().create_future()
+        if entry is not None and entry[0] == stamp:
+            entry[1].append(future)
+        elif entry is not None:
+            # Another version of the same key is being asked about; a read settles both.
+            await self.refresh(key)
+            return False
+        else:
+            self.waiting[key] = (stamp, [future])
+            self.wake.set()
+        async with asyncio.timeout(1.5):
+            return await future
+
+    async def run(self) -> None:
+        while True:
+            await self.wake.wait()
+            await asyncio.sleep(0.03)
+            self.wake.clear()
+            while self.waiting:
+                batch = {k: self.waiting.pop(k) for k in list(self.waiting)[: self.most]}
+                await self._ask(batch)
+
+    async def _ask(self, batch: dict[str, tuple[int, list[asyncio.Future]]]) -> None:
+        try:
+            while batch:
+                try:
+                    await self.store.commit([(k, s) for k, (s, _) in batch.items()], timeout=1.0)
+                except Conflict as c:
+                    changed = [k for k in c.failed if k in batch]
+                    if not changed:
+                        raise Unknown("conflict without keys") from None
+                    # The list might name only some of the keys, so the rest are asked about again.
+                    for k in changed:
+                        _, futures = batch.pop(k)
+                        try:
+                            await self.refresh(k)
+                        except (Refused, Unknown) as e:
+                            _settle(futures, e)
+                        else:
+                            _settle(futures, False)
+                else:
+                    for _, futures in batch.values():
+                        _settle(futures, True)
+                    return
+        except (Refused, Unknown) as e:
+            for _, futures in batch.values():
+                _settle(futures, e)
+
+
+def _settle(futures: list[asyncio.Future], result: object) -> None:
+    for f in futures:
+        if not f.done():
+            if isinstance(result, Exception):
+                f.set_exception(result)
+            else:
+                f.set_result(result)
--- a/hookwall/formats.py
+++ b/hookwall/formats.py
@@ -13,7 +13,7 @@
 import logging
 from collections.abc import Iterable
 
-from hookwall import store as st
+from hookwall import keys
 from hookwall.store import Conflict, Refused, Store, Unknown
 
 log = logging.getLogger("hookwall.formats")
@@ -38,7 +38,7 @@
 
     def saw(self, key: str, value: object) -> None:
         """A marker as stored."""
-        node = key[len(st.FORMAT) :]
+        node = key[len(keys.FORMAT) :]
         known = value.get("format") if isinstance(value, dict) else None
         if node not in self.nodes or node in self.marked or not isinstance(known, int) or known < CURRENT:
             return
@@ -66,7 +66,7 @@
         await asyncio.Event().wait()
 
     async def _mark(self, node: str) -> None:
-        key, value = st.FORMAT + node, {"format": CURRENT}
+        key, value = keys.FORMAT + node, {"format": CURRENT}
         try:
             await self.store.commit([(key, 0)], [(key, value)])
             self.saw(key, value)
--- a/hookwall/job_writer.py
+++ b/hookwall/job_writer.py
@@ -10,10 +10,9 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from hookwall import records
-from hookwall import store as st
+from hookwall import keys, records
 from hookwall.jobs import OPEN, Job, JobTable, write_order
-from hookwall.keeper import Kept
+from hookwall.kept import Kept
 from hookwall.leadership import Leadership, Role
 from hookwall.records import Encoded, RecordTooLarge
 from hookwall.store import Conflict, Refused, Store, TooLarge, Unknown
@@ -163,8 +162,8 @@
 
     async def _commit(self, token: int, batch: list[PendingWrite]) -> int:
         """Write the records with their new parts, or after them where one transaction does not take all."""
-        fence = [(st.LEADER, token), *self.kept.conditions(self.keep_keys)]
-        conditions = [*fence, *((st.JOBS + w.job.ref, w.job.stamp) for w in batch)]
+        fence = [(keys.LEADER, token), *self.kept.conditions(self.keep_keys)]
+        conditions = [*fence, *((keys.JOBS + w.job.ref, w.job.stamp) for w in batch)]
         parts = {key: text for w in batch for key, text in w.new_parts.items()}
         step = self.store.batch()
         while len(parts) + len(batch) > max(step, len(batch)):
@@ -175,7 +174,7 @@
                 self.table.take_part(key, text)
                 conditions.append((key, written))
                 del parts[key]
-        put = [*parts.items(), *((st.JOBS + w.job.ref, w.encoded.value) for w in batch)]
+        put = [*parts.items(), *((keys.JOBS + w.job.ref, w.encoded.value) for w in batch)]
         written = await self.store.commit(conditions, put)
         for key, text in parts.items():
             self.table.take_part(key, text)
@@ -199,30 +198,30 @@
         if job.parked is not None:
             value, at = job.parked
             job.parked = None
-            self.table.apply(st.JOBS + job.ref, value, at)
+            self.table.apply(keys.JOBS + job.ref, value, at)
 
     # -- what had changed meanwhile ----------------------------------------------------------------
 
     async def _follow_conflict(self, conflict: list[str]) -> None:
         """Read again what a write found changed."""
-        if st.LEADER in conflict:
+        if keys.LEADER in conflict:
             self.lead.step_down("a write was refused: the leader key has changed")
             return
         keepers = [key for key in conflict if key in self.keep_keys]
         if keepers:
             await self._keepers_changed(keepers)
         for key in conflict:
-            if not key.startswith(st.JOBS):
+            if not key.startswith(keys.JOBS):
                 continue
             try:
                 await self.refresh(key)
             except (Refused, Unknown) as error:
                 log.debug("refresh of %s: %s", key, error)
 
-    async def _keepers_changed(self, keys: list[str]) -> None:
+    async def _keepers_changed(self, changed: list[str]) -> None:
         """A follower keeps leases that this leader did not know of: what it believed to be over may not be."""
         log.info("keepers have changed; decisions that are not stored are void")
-        for key in keys:
+        for key in changed:
             try:
                 got = await self.store.get(key)
             except (Refused, Unknown):
@@ -253,7 +252,7 @@
         if not unused:
             return
         try:
-            await self.store.commit([(st.LEADER, self.lead.token), (st.JOBS + ref, job.stamp)], delete=unused)
+            await self.store.commit([(keys.LEADER, self.lead.token), (keys.JOBS + ref, job.stamp)], delete=unused)
         except (Conflict, Refused) as error:
             log.debug("parts of %s stay: %s", ref, type(error).__name__)
             self.table.parts.stale.add(ref)
--- a/hookwall/jobs.py
+++ b/hookwall/jobs.py
@@ -8,8 +8,7 @@
 import logging
 from collections.abc import Callable, Iterable
 
-from hookwall import records, wire
-from hookwall import store as st
+from hookwall import keys, records, wire
 from hookwall.dependencies import DependencyGraph, Outcome
 from hookwall.records import JobRecord, MalformedRecord, MissingParts, pack_numbers, unpack_numbers
 from hookwall.wire import JobSpec
@@ -256,7 +255,7 @@
 
     def apply(self, key: str, value: object, stamp: int) -> None:
         """A record as read or watched; older than what is known: ignored."""
-        ref = key[len(st.JOBS) :]
+        ref = key[len(keys.JOBS) :]
         job = self.jobs.get(ref)
         if job is None:
             job = self.jobs[ref] = Job(ref)
@@ -293,7 +292,7 @@
         ref = self.parts.add(key, text)
         waiting = self.parts.incomplete.get(ref)
         if waiting is not None:
-            self.apply(st.JOBS + ref, *waiting)
+            self.apply(keys.JOBS + ref, *waiting)
 
     def missing_parts(self, ref: str) -> list[str]:
         """The parts without which the newest record that was seen can't be read."""
@@ -335,7 +334,7 @@
         for job in list(self.open.values()):
             if job.dirty and not job.writing and job.raw is not None:
                 job.void = True
-                self.apply(st.JOBS + job.ref, job.raw, job.stamp)
+                self.apply(keys.JOBS + job.ref, job.raw, job.stamp)
 
     # -- what follows from records ------------------------------------------------------------------
 
@@ -421,7 +420,7 @@
 
     def add(self, key: str, text: object) -> str:
         """A part as read, watched or written; returns the job that it belongs to."""
-        ref = key[len(st.PARTS) :].partition("/")[0]
+        ref = key[len(keys.PARTS) :].partition("/")[0]
         if isinstance(text, str):
             self.texts[key] = text
             self.by_job.setdefault(ref, set()).add(key)
@@ -430,11 +429,11 @@
 
     def remove(self, key: str) -> None:
         """A part is gone."""
-        ref = key[len(st.PARTS) :].partition("/")[0]
+        ref = key[len(keys.PARTS) :].partition("/")[0]
         self.texts.pop(key, None)
-        keys = self.by_job.get(ref, set())
-        keys.discard(key)
-        if not keys:
+        of_job = self.by_job.get(ref, set())
+        of_job.discard(key)
+        if not of_job:
             self.by_job.pop(ref, None)
 
     def await_parts(self, ref: str, value: object, stamp: int) -> None:
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from hookwall import formats, peers, server, wire
-from hookwall import store as st
+from hookwall import formats, keys, peers, server, wire
 from hookwall.cancellations import Cancellations
-from hookwall.cloud import CloudClient, Renting
+from hookwall.cloud_client import CloudClient
+from hookwall.confirmer import Confirmer
 from hookwall.fleet import Fleet
 from hookwall.formats import FormatGate
 from hookwall.job_writer import JobWriter
@@ -19,9 +19,10 @@
 from hookwall.keeper import Keeper
 from hookwall.leadership import Leadership, Role
 from hookwall.peers import Peer
+from hookwall.renting import Renting
 from hookwall.scheduler import Scheduler
 from hookwall.settings import Settings, address
-from hookwall.store import Confirmer, Conflict, Refused, Store, TooOld, Unknown
+from hookwall.store import Conflict, Refused, Store, TooOld, Unknown
 from hookwall.user_api import UserApi
 from hookwall.wire import BadMessage, Beat, Catalog
 
@@ -69,7 +70,7 @@
         peer_names = [seed.node_name for seed in settings.seeds]
         self.formats = FormatGate(settings.node_name, peer_names, self.store)
         self.writer = JobWriter(
-            self.table, self.store, self.leadership, self.fleet.kept, [st.KEEP + n for n in peer_names], clock
+            self.table, self.store, self.leadership, self.fleet.kept, [keys.KEEP + n for n in peer_names], clock
         )
         self.writer.refresh, self.writer.on_stored = self._refresh, self._stored
         self.writer.new_formats = self.keeper.new_formats = self.api.new_formats = self.formats.ready
@@ -112,18 +113,18 @@
             self.store.lower(f"{node} says so")
 
     def _take_key(self, key: str, value: Any, stamp: int) -> None:
-        if key.startswith(st.JOBS):
+        if key.startswith(keys.JOBS):
             self.table.apply(key, value, stamp)
-        elif key == st.LEADER:
+        elif key == keys.LEADER:
             if stamp >= self.leadership.key_stamp:
                 self.leadership.saw_key(value, stamp)
-        elif key.startswith(st.KEEP):
+        elif key.startswith(keys.KEEP):
             self.fleet.kept.take(key, value, stamp)
-        elif key.startswith(st.PARTS):
+        elif key.startswith(keys.PARTS):
             self.table.take_part(key, value)
-        elif key.startswith(st.FORMAT):
+        elif key.startswith(keys.FORMAT):
             self.formats.saw(key, value)
-        elif key == st.CATALOG and not self.leadership.valid():
+        elif key == keys.CATALOG and not self.leadership.valid():
             try:
                 self._set_catalog(wire.convert(value, Catalog))
             except BadMessage as e:
@@ -131,11 +132,11 @@
 
     def _take_deletion(self, key: str, stamp: int) -> None:
         """A key is gone."""
-        if key == st.LEADER and stamp > self.leadership.key_stamp:
+        if key == keys.LEADER and stamp > self.leadership.key_stamp:
             self.leadership.saw_key({}, 0)
-        elif key.startswith(st.PARTS):
+        elif key.startswith(keys.PARTS):
             self.table.parts.remove(key)
-        elif key.startswith(st.KEEP):
+        elif key.startswith(keys.KEEP):
             known = self.fleet.kept.keys.get(key)
             if known is not None and stamp > known[0]:
                 self.fleet.kept.take(key, None, 0)
@@ -147,11 +148,11 @@
     async def _read_all(self) -> None:
         """Read every key; the watch goes on from there."""
         sent = self.clock()
-        found, epoch = await self.store.scan(st.ROOT)
+        found, epoch = await self.store.scan(keys.ROOT)
         self._keepers_missing(found)
         leader = False
         for key, value, stamp in found:
-            leader = leader or key == st.LEADER
+            leader = leader or key == keys.LEADER
             self._take_key(key, value, stamp)
         if not leader and self.leadership.key_stamp <= epoch:
             self.leadership.saw_key({}, 0)
@@ -163,17 +164,17 @@
         """A new leader's picture starts from the records as they are after its key was written."""
         self.table.void_decisions()
         sent = self.clock()
-        found, epoch = await self.store.scan(st.ROOT)
+        found, epoch = await self.store.scan(keys.ROOT)
         self._keepers_missing(found)
         for key, value, stamp in found:
-            if key != st.LEADER:
+            if key != keys.LEADER:
                 self._take_key(key, value, stamp)
         for ref in list(self.table.parts.incomplete):
-            await self._refresh(st.JOBS + ref)  # its parts were replaced while the keys were read
+            await self._refresh(keys.JOBS + ref)  # its parts were replaced while the keys were read
         self.scanned = epoch
         self.cancellations.complete = True
         self.cancellations.read(sent)
-        self.no_catalog = all(key != st.CATALOG for key, _, _ in found)
+        self.no_catalog = all(key != keys.CATALOG for key, _, _ in found)
         self.fleet.reset(self.leadership.token)
         self.scheduler.waiting.clear()
         self.renting.reset()
@@ -231,7 +232,9 @@
         if old is not None and shape == [(t.name, t.cpus, t.gpus, t.memory, t.zones) for t in old.types]:
             return
         try:
-            await self.store.commit([(st.LEADER, self.leadership.token)], [(st.CATALOG, msgspec.to_builtins(catalog))])
+            await self.store.commit(
+                [(keys.LEADER, self.leadership.token)], [(keys.CATALOG, msgspec.to_builtins(catalog))]
+            )
         except (Conflict, Refused, Unknown) as e:
             log.info("could not store the catalog: %s", type(e).__name__)
             self.api.catalog = old
--- /dev/null
+++ b/hookwall/promise.py
@@ -0,0 +1,57 @@
+"""The promise of support that a node gives to one leader or candidate at a time."""
+
+from collections.abc import Callable
+
+from hookwall.clocks import DRIFT, SLACK_S
+
+PROMISE_S = 5.0
+VOTE_S = 1.5
+
+
+class Promise:
+    """What this node has promised. In memory only: see `guarded` for what a restart may do."""
+
+    def __init__(self, me: str, clock: Callable[[], float]) -> None:
+        self.me, self.clock = me, clock
+        self.started = clock()
+        self.holder = ""
+        self.until = -1e9
+        self.token = 0
+        # The leader key as read after this process started: (node, stamp); stamp 0: no key.
+        self.seen_key: tuple[str, int] | None = None
+
+    def guarded(self) -> bool:
+        """A promise given before a restart is forgotten, so for its length none may be contradicted."""
+        return self.clock() < self.started + PROMISE_S * (1 + DRIFT) + SLACK_S
+
+    def free_for(self, node: str) -> bool:
+        return self.holder == node or self.clock() >= self.until
+
+    def renew(self, node: str, token: int) -> bool:
+        """A leader asks for support for its token."""
+        if token < self.token or not self.free_for(node):
+            return False
+        if self.guarded() and self.holder != node and (self.seen_key is None or self.seen_key[1] != token):
+            return False
+        self.holder, self.token = node, token
+        self.until = self.clock() + PROMISE_S
+        return True
+
+    def vote(self, node: str) -> bool:
+        """A candidate asks for support before it writes the leader key."""
+        if not self.free_for(node):
+            return False
+        if self.guarded() and self.holder != node:
+            # A key that is gone means that no leader's hold is valid; a key that names the
+            # candidate means that the leader it names was an earlier process of that node.
+            key = self.seen_key
+            if key is None or (key[1] != 0 and key[0] != node):
+                return False
+        self.holder = node
+        self.until = max(self.until, self.clock() + VOTE_S)
+        return True
+
+    def release(self, node: str, token: int) -> None:
+        """The holder gives its support back. A late copy must not undo a newer promise, hence the token."""
+        if self.holder == node and token >= self.token:
+            self.until = -1e9
--- a/hookwall/records.py
+++ b/hookwall/records.py
@@ -17,9 +17,9 @@
 
 import msgspec
 
+from hookwall import keys
 from hookwall.wire import JobSpec
 
-PARTS = "hookwall/part/"
 LIMIT_SHARE = 0.9  # of a value's size limit: the service may count other white space than we write
 LIMIT_MARGIN = 64  # bytes; a cancellation changes the phase of a record in place
 PART_NAME_BYTES = 12
@@ -130,7 +130,7 @@
 
 def part_key(ref: str, text: str) -> str:
     """The key of a part, named after its content."""
-    return f"{PARTS}{ref}/{hashlib.blake2b(text.encode(), digest_size=PART_NAME_BYTES).hexdigest()}"
+    return f"{keys.PARTS}{ref}/{hashlib.blake2b(text.encode(), digest_size=PART_NAME_BYTES).hexdigest()}"
 
 
 def _split(ref: str, text: str, limit: int) -> dict[str, str]:
@@ -177,11 +177,11 @@
     packed = value.get("packed") if isinstance(value, dict) else None
     if not isinstance(packed, dict):
         return []
-    keys: list[str] = []
+    named: list[str] = []
     for names in (packed.get("fixed"), packed.get("state")):
         if isinstance(names, list):
-            keys.extend(f"{PARTS}{ref}/{name}" for name in names)
-    return keys
+            named.extend(f"{keys.PARTS}{ref}/{name}" for name in names)
+    return named
 
 
 def decode(ref: str, value: object, part: Callable[[str], str | None]) -> JobRecord:
@@ -203,7 +203,7 @@
 def _unpack(ref: str, text: object, part: Callable[[str], str | None], kind: Any) -> Any:
     """One packed text, inline or in parts."""
     if isinstance(text, list):
-        text = "".join(part(f"{PARTS}{ref}/{name}") or "" for name in text)
+        text = "".join(part(f"{keys.PARTS}{ref}/{name}") or "" for name in text)
     if not isinstance(text, str):
         raise MalformedRecord("packed text is missing")
     return decompress(text, kind)
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -8,13 +8,15 @@
 import asyncio
 import logging
 import math
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import aiohttp
 import msgspec
 
+from hookwall import keys
 from hookwall.client import NoAnswer, call, open_session
+from hookwall.pacing import Bucket, Want
 from hookwall.records import value_limit
 from hookwall.settings import State
 
@@ -26,15 +28,6 @@
 LEADS = (0.66, 0.76)  # a leader's share of requests and of changes; followers store new jobs and cancellations only
 KEEPS = 0.4  # of the limits, a leader never lends
 LENT_S = 2.5  # how long a follower may use what it was lent
-WANT_S = 2.0  # over which time the wish for requests and changes is smoothed
-
-ROOT = "hookwall/"
-JOBS = ROOT + "job/"
-LEADER = ROOT + "leader"
-CATALOG = ROOT + "catalog"
-KEEP = ROOT + "keep/"
-FORMAT = ROOT + "format/"
-PARTS = ROOT + "part/"
 
 
 class Refused(Exception):
@@ -60,55 +53,6 @@
     failed: list[str]
 
 
-class Bucket:
-    """Paces requests: `rate` a second with a burst, first come first served."""
-
-    def __init__(self, rate: float, burst: float, clock: Callable[[], float]) -> None:
-        self.rate, self.burst, self.clock = rate, burst, clock
-        self.level, self.at = burst, clock()
-
-    def delay(self, cost: float, most: float = math.inf) -> float | None:
-        """Take `cost` and say how long to wait first; None, and nothing taken, if that is over `most`.
-
-        A refusal must cost nothing: when it did, a leader that retried a large write each quarter of
-        a second sank ever deeper into debt and never wrote again.
-        """
-        now = self.clock()
-        self.level, self.at = self.level_now(), now
-        wait = max(0.0, (cost - self.level) / self.rate)
-        if wait > most:
-            return None
-        self.level -= cost
-        return wait
-
-    def level_now(self) -> float:
-        """What could be taken at once."""
-        return min(self.burst, self.level + (self.clock() - self.at) * self.rate)
-
-    def set_share(self, rate: float, burst: float) -> None:
-        """Change the pace; what has been taken stays taken."""
-        self.rate, self.burst = rate, burst
-
-
-class Want:
-    """How many requests and changes a second this node would make, those included that were refused for pace."""
-
-    def __init__(self, clock: Callable[[], float]) -> None:
-        self.clock = clock
-        self.at = clock()
-        self.rates = [0.0, 0.0]
-
-    def add(self, requests: float, changes: float) -> None:
-        self.rates = [r + n / WANT_S for r, n in zip(self.now(), (requests, changes), strict=True)]
-
-    def now(self) -> list[float]:
-        """Decayed up to this moment."""
-        now = self.clock()
-        decay = math.exp(-max(0.0, now - self.at) / WANT_S)
-        self.at, self.rates = now, [r * decay for r in self.rates]
-        return self.rates
-
-
 class Store:
     """Requests to the state service, with what is known about its health."""
 
@@ -349,86 +293,10 @@
 
     async def changes(self, after: int, block_s: float) -> tuple[list[dict], int]:
         """Changes below the root since `after`; waits up to `block_s` for one."""
-        path = f"/changes?under={ROOT}&after={after}&blockMs={int(block_s * 1000)}"
+        path = f"/changes?under={keys.ROOT}&after={after}&blockMs={int(block_s * 1000)}"
         status, got = await self._send("GET", path, timeout=block_s + 3.0)
         if status == 410:
             raise TooOld
         if status != 200 or not isinstance(got.get("epoch"), int):
             raise Unknown(f"watch: status {status}")
         return [e for e in got.get("log", []) if isinstance(e, dict)], got["epoch"]
-
-
-class Confirmer:
-    """Proves that cached versions are still current, many in one comparison.
-
-    An answer from a cache could be older than what another node has told the same user, so nothing
-    but a final state leaves a node unconfirmed.
-    """
-
-    def __init__(self, store: Store, refresh: Callable[[str], Awaitable[None]]) -> None:
-        self.store = store
-        self.refresh = refresh
-        self.most = max(1, store.limits.least_txn_ops() * 4 - 1)
-        self.waiting: dict[str, tuple[int, list[asyncio.Future]]] = {}
-        self.wake = asyncio.Event()
-
-    async def confirm(self, key: str, stamp: int) -> bool:
-        """True: the key still has this stamp. False: it was read again. Raises if neither is known."""
-        entry = self.waiting.get(key)
-        future: asyncio.Future = asyncio.get_running_loop().create_future()
-        if entry is not None and entry[0] == stamp:
-            entry[1].append(future)
-        elif entry is not None:
-            # Another version of the same key is being asked about; a read settles both.
-            await self.refresh(key)
-            return False
-        else:
-            self.waiting[key] = (stamp, [future])
-            self.wake.set()
-        async with asyncio.timeout(1.5):
-            return await future
-
-    async def run(self) -> None:
-        while True:
-            await self.wake.wait()
-            await asyncio.sleep(0.03)
-            self.wake.clear()
-            while self.waiting:
-                keys = list(self.waiting)[: self.most]
-                batch = {k: self.waiting.pop(k) for k in keys}
-                await self._ask(batch)
-
-    async def _ask(self, batch: dict[str, tuple[int, list[asyncio.Future]]]) -> None:
-        try:
-            while batch:
-                try:
-                    await self.store.commit([(k, s) for k, (s, _) in batch.items()], timeout=1.0)
-                except Conflict as c:
-                    changed = [k for k in c.failed if k in batch]
-                    if not changed:
-                        raise Unknown("conflict without keys") from None
-                    # The list might name only some of the keys, so the rest are asked about again.
-                    for k in changed:
-                        _, futures = batch.pop(k)
-                        try:
-                            await self.refresh(k)
-                        except (Refused, Unknown) as e:
-                            _settle(futures, e)
-                        else:
-                            _settle(futures, False)
-                else:
-                    for _, futures in batch.values():
-                        _settle(futures, True)
-                    return
-        except (Refused, Unknown) as e:
-            for _, futures in batch.values():
-                _settle(futures, e)
-
-
-def _settle(futures: list[asyncio.Future], result: object) -> None:
-    for f in futures:
-        if not f.done():
-            if isinstance(result, Exception):
-                f.set_exception(result)
-            else:
-                f.set_result(result)
--- a/hookwall/user_api.py
+++ b/hookwall/user_api.py
@@ -8,12 +8,12 @@
 
 import msgspec
 
-from hookwall import records, wire
-from hookwall import store as st
+from hookwall import keys, records, wire
+from hookwall.confirmer import Confirmer
 from hookwall.jobs import DONE, OPEN, WITHDRAWN, Job, JobTable
 from hookwall.records import Encoded, JobRecord, MalformedRecord, MissingParts, RecordTooLarge
 from hookwall.settings import Params
-from hookwall.store import Confirmer, Conflict, Refused, Store, Unknown
+from hookwall.store import Conflict, Refused, Store, Unknown
 from hookwall.wire import BadMessage, Catalog, JobSpec
 
 log = logging.getLogger("hookwall.user_api")
@@ -64,7 +64,7 @@
 
     async def refresh(self, key: str) -> None:
         """Read a job's record anew, and the parts that it names."""
-        ref = key[len(st.JOBS) :]
+        ref = key[len(keys.JOBS) :]
         for _ in range(3):
             got = await self.store.get(key)
             if got is None:
@@ -92,7 +92,7 @@
         Parts of a job that has no record yet are never removed. Those that an existing record does not
         name may be, so the write is conditional on them as well.
         """
-        there = self.table.parts.texts if not stamp else records.part_keys(key[len(st.JOBS) :], current)
+        there = self.table.parts.texts if not stamp else records.part_keys(key[len(keys.JOBS) :], current)
         new = {k: text for k, text in encoded.parts.items() if k not in there}
         conditions = [(key, stamp)]
         until = self.clock() + PARTS_S
@@ -148,7 +148,7 @@
         job = self.table.jobs.get(ref)
         if job is not None and job.final() and job.stamp:
             return job
-        await self.confirmer.confirm(st.JOBS + ref, job.stamp if job is not None else 0)
+        await self.confirmer.confirm(keys.JOBS + ref, job.stamp if job is not None else 0)
         job = self.table.jobs.get(ref)
         return job if job is not None and job.stamp else None
 
@@ -240,7 +240,7 @@
         unseen = [ref for ref in refs if not self._seen_accepted(ref)]
         for at in range(0, len(unseen), self.confirmer.most):
             some = unseen[at : at + self.confirmer.most]
-            absent = await asyncio.gather(*(self.confirmer.confirm(st.JOBS + ref, 0) for ref in some))
+            absent = await asyncio.gather(*(self.confirmer.confirm(keys.JOBS + ref, 0) for ref in some))
             for ref, is_absent in zip(some, absent, strict=True):
                 if is_absent:
                     return ref
@@ -267,7 +267,7 @@
         job.spec, job.at, job.tasks, job.done = spec, self.wall(), spec.tasks, bytearray(spec.tasks)
         if self._needs_cancelled(spec):
             job.phase = WITHDRAWN
-        key = st.JOBS + spec.ref
+        key = keys.JOBS + spec.ref
         try:
             await self._store(key, 0, self._encode(spec.ref, job.record()))
         except Conflict:
@@ -284,7 +284,7 @@
             return await self._ended(ref, self.table.jobs[ref].stored_phase, self.table.jobs[ref].stamp)
         if not self.store.healthy():
             return later("state service")
-        key = st.JOBS + ref
+        key = keys.JOBS + ref
         try:
             for _ in range(4):
                 got = await self.store.get(key)
--- a/tests/production.py
+++ b/tests/production.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from hookwall import store as st
+from hookwall import keys
 from hookwall.node import Node
 
 SPEC_FIELDS = {
@@ -66,11 +66,11 @@
         self.api.submit = lambda body: submit(without_needs(body))
 
     def _take_key(self, key: str, value: Any, stamp: int) -> None:
-        if key.startswith(st.JOBS):
+        if key.startswith(keys.JOBS):
             wrong = misread(value)
             if wrong:
                 self.broken.append(f"production misreads {key}: {wrong}")
-        if key.startswith((st.JOBS, st.LEADER, st.KEEP, st.CATALOG)):
+        if key.startswith((keys.JOBS, keys.LEADER, keys.KEEP, keys.CATALOG)):
             super()._take_key(key, value, stamp)
 
 
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -5,9 +5,10 @@
 import pytest
 
 from hookwall import cancellations as cn
-from hookwall import store as st
+from hookwall import keys
 from hookwall.cancellations import Cancellations
-from hookwall.leadership import PROMISE_S, Leadership, Mode, Role
+from hookwall.leadership import Leadership, Mode, Role
+from hookwall.promise import PROMISE_S
 
 
 class Peers:
@@ -45,8 +46,8 @@
     c = Cancellations(params.workers, lead, state, clock, lambda: 50, withdrawn.__setitem__)
     c.withdrawn = withdrawn
     state.epoch = 20
-    state.keys[st.LEADER] = ({"node": "n1"}, 20)
-    lead.saw_key(*state.keys[st.LEADER])
+    state.keys[keys.LEADER] = ({"node": "n1"}, 20)
+    lead.saw_key(*state.keys[keys.LEADER])
     return c
 
 
@@ -137,7 +138,7 @@
 def test_under_a_leader_by_hold_an_unchanged_key_is_enough(node, state):
     node.lead.saw_key({"node": "n1", "mode": "hold"}, 25)
     assert asyncio.run(node.confirmed("run-000001", 33)) is False, "the key is another"
-    state.keys[st.LEADER] = ({"node": "n1", "mode": "hold"}, 25)
+    state.keys[keys.LEADER] = ({"node": "n1", "mode": "hold"}, 25)
     assert asyncio.run(node.confirmed("run-000001", 33)) is True
     state.mode = "down"
     assert asyncio.run(node.confirmed("run-000002", 34)) is False
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -8,10 +8,9 @@
 from conftest import description
 from production import misread
 
-from hookwall import records, wire
-from hookwall import store as st
+from hookwall import keys, records, wire
 from hookwall.jobs import JobTable
-from hookwall.keeper import Kept, _machines
+from hookwall.kept import Kept, _machines
 from hookwall.leadership import Leadership, Mode
 
 GOLDEN = json.loads((Path(__file__).parent / "golden" / "production.json").read_text(encoding="utf-8"))
@@ -23,11 +22,10 @@
 
 
 def test_keys_are_those_of_production():
-    assert GOLDEN["keys"] == {"jobs": st.JOBS, "leader": st.LEADER, "catalog": st.CATALOG, "keep": st.KEEP}
-    for new in (st.FORMAT, st.PARTS):
+    assert GOLDEN["keys"] == {"jobs": keys.JOBS, "leader": keys.LEADER, "catalog": keys.CATALOG, "keep": keys.KEEP}
+    for new in (keys.FORMAT, keys.PARTS):
         # Production looks at no other keys below the root that it reads and watches.
-        assert new.startswith(st.ROOT) and not new.startswith(tuple(GOLDEN["keys"].values()))
-    assert records.PARTS == st.PARTS
+        assert new.startswith(keys.ROOT) and not new.startswith(tuple(GOLDEN["keys"].values()))
 
 
 @pytest.mark.parametrize("name", sorted(GOLDEN["jobs"]))
@@ -38,7 +36,7 @@
     record = records.decode(ref, value, lambda key: None)
     assert stored(records.encode(ref, record, None).value) == value
     table = JobTable(clock)
-    table.apply(st.JOBS + ref, value, 7)
+    table.apply(keys.JOBS + ref, value, 7)
     job = table.jobs[ref]
     assert (job.stamp, job.stored_phase, job.tasks, job.next_attempt) == (7, value["phase"], value["n"], value["next"])
     if job.spec is not None:
@@ -47,7 +45,7 @@
 
 def test_what_is_under_way_is_known_from_a_record_of_production(clock):
     table = JobTable(clock)
-    table.apply(st.JOBS + "run-000003", GOLDEN["jobs"]["under_way"], 7)
+    table.apply(keys.JOBS + "run-000003", GOLDEN["jobs"]["under_way"], 7)
     job = table.jobs["run-000003"]
     assert job.stored_on == {3: ("vm-000231", 2), 4: ("vm-000231", 2), 7: ("vm-000300", 3)}
     assert job.pending(20) == [5, 6, 8] and job.at == 1_700_000_000.25
@@ -55,7 +53,7 @@
 
 def test_no_field_that_production_would_lose_is_written_in_the_old_format(clock):
     table = JobTable(clock)
-    table.apply(st.JOBS + "run-000001", GOLDEN["jobs"]["accepted"], 7)
+    table.apply(keys.JOBS + "run-000001", GOLDEN["jobs"]["accepted"], 7)
     job = table.jobs["run-000001"]
     for task in range(job.tasks):
         job.mark_done(task)
@@ -73,7 +71,7 @@
     lead.saw_key(GOLDEN["leader_key"], 9)
     assert (lead.key_node, lead.key_stamp, lead.key_mode) == ("n0", 9, Mode.PROMISE)
     kept = Kept(clock)
-    kept.take(st.KEEP + "n0", GOLDEN["keep"], 3)
+    kept.take(keys.KEEP + "n0", GOLDEN["keep"], 3)
     assert kept.kept("vm-000231") and kept.kept("vm-000300")
     catalog = wire.convert(GOLDEN["catalog"], wire.Catalog)
     assert msgspec.to_builtins(catalog) == GOLDEN["catalog"]
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -3,13 +3,16 @@
 import asyncio
 import json
 
+import msgspec
 import pytest
 from conftest import CATALOG, description
 
+from hookwall import keys
+from hookwall.confirmer import Confirmer
 from hookwall.jobs import JobTable, write_order
-from hookwall.records import pack_numbers, plain, unpack_numbers
-from hookwall.store import Confirmer
+from hookwall.records import JobRecord, encode, pack_numbers, plain, unpack_numbers
 from hookwall.user_api import UserApi
+from hookwall.wire import JobSpec
 
 
 class Nodes:
@@ -253,3 +256,44 @@
     cluster.clock.tick(1.0)
     cluster.fleet.put(old, 0, m, 1, cluster.clock())
     assert write_order(cluster.table.open.values(), cluster.clock(), spare=False) == [new, old]
+
+
+def large_record(clock):
+    """An accepted job whose record needs parts, with its value and them."""
+    spec = msgspec.convert(description(1, awaits=[f"run-{n * 7919:018d}" for n in range(300)]), JobSpec)
+    record = JobRecord(tasks=1, spec=spec, at=1.0, done="")
+    encoded = encode(spec.ref, record, 1700)
+    return JobTable(clock), keys.JOBS + spec.ref, encoded
+
+
+@pytest.mark.parametrize("head_first", [True, False])
+def test_a_record_is_known_once_its_parts_are_in_whatever_order_they_come(clock, head_first):
+    table, key, encoded = large_record(clock)
+    if head_first:
+        table.apply(key, encoded.value, 9)
+        assert table.jobs["run-000001"].stamp == 0 and len(table.missing_parts("run-000001")) == len(encoded.parts)
+    for part, text in encoded.parts.items():
+        table.take_part(part, text)
+    if not head_first:
+        table.apply(key, encoded.value, 9)
+    assert table.jobs["run-000001"].stamp == 9 and table.jobs["run-000001"].spec.needs
+
+
+def test_a_job_whose_parts_are_not_known_yet_is_not_answered_404(nodes, state, clock):
+    table, key, encoded = large_record(clock)
+    state.keys[key] = (encoded.value, 9)
+    state.epoch = 9
+
+    async def script(a, b):
+        first = (await a.get("run-000001"))[0]
+        for part, text in encoded.parts.items():
+            state.keys[part] = (text, 8)
+        return first, (await a.get("run-000001"))[0]
+
+    assert play(nodes, script) == (503, 200)
+
+
+def test_a_cancellation_that_is_seen_without_its_parts_counts_at_once(clock):
+    table, key, encoded = large_record(clock)
+    table.apply(key, {**encoded.value, "phase": "withdrawn"}, 9)
+    assert table.withdrawn("run-000001")
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -5,10 +5,10 @@
 import pytest
 
 from hookwall import keeper as kp
-from hookwall import store as st
-from hookwall import wire
+from hookwall import keys, wire
 from hookwall.jobs import JobTable
-from hookwall.keeper import Keeper, Kept
+from hookwall.keeper import Keeper
+from hookwall.kept import Kept
 from hookwall.leadership import Leadership
 from hookwall.records import plain
 from hookwall.store import Conflict
@@ -21,8 +21,8 @@
 
     lead = Leadership("n1", 3, [], state, clock, load, lambda role: None)
     state.epoch = 7
-    state.keys[st.LEADER] = ({"node": "n0"}, 7)
-    lead.saw_key(*state.keys[st.LEADER])
+    state.keys[keys.LEADER] = ({"node": "n0"}, 7)
+    lead.saw_key(*state.keys[keys.LEADER])
     clock.tick(kp.UNHEARD_S + 1)
     return Keeper("n1", lead, state, JobTable(clock), lambda: True, clock)
 
@@ -39,7 +39,7 @@
 
 def test_a_worker_that_lost_its_leader_is_answered_once_that_is_stored(follower, state):
     assert asyncio.run(follower.keep(beat())) == []
-    assert state.keys[st.KEEP + "n1"][0]["machines"] == ["vm-1"]
+    assert state.keys[keys.KEEP + "n1"][0]["machines"] == ["vm-1"]
 
 
 def test_no_answer_without_a_store_a_lost_leader_a_task_and_the_token(follower, state, clock):
@@ -70,14 +70,14 @@
 def test_a_new_leader_ends_keeping(follower, state):
     asyncio.run(follower.keep(beat()))
     state.epoch = 20
-    state.keys[st.LEADER] = ({"node": "n2"}, 20)
-    follower.lead.saw_key(*state.keys[st.LEADER])
+    state.keys[keys.LEADER] = ({"node": "n2"}, 20)
+    follower.lead.saw_key(*state.keys[keys.LEADER])
     assert not follower.valid("vm-1")
 
 
 def test_cancelled_tasks_are_stopped(follower):
     record = {"phase": "withdrawn", "n": 1, "next": 2, "on": []}
-    follower.table.apply(st.JOBS + "run-000001", record, 5)
+    follower.table.apply(keys.JOBS + "run-000001", record, 5)
     orders = asyncio.run(follower.keep(beat()))
     assert [(o.verb, o.piece) for o in orders] == [("stop", "run-000001/0")]
 
@@ -93,10 +93,10 @@
     clock.tick(13.0)
     cluster.fleet.expire(clock())
     assert not job.active and job.dirty
-    keys = [st.KEEP + "n1"]
+    keep_keys = [keys.KEEP + "n1"]
     with pytest.raises(Conflict):
-        asyncio.run(state.commit([(st.LEADER, 7), *cluster.fleet.kept.conditions(keys)], [("x", 1)]))
-    cluster.fleet.kept.take(keys[0], *state.keys[keys[0]])
+        asyncio.run(state.commit([(keys.LEADER, 7), *cluster.fleet.kept.conditions(keep_keys)], [("x", 1)]))
+    cluster.fleet.kept.take(keep_keys[0], *state.keys[keep_keys[0]])
     job.raw = {**plain(job.record()), "on": [["vm-1", 1, 1, "0"]]}
     cluster.table.revert()
     cluster.fleet.expire(clock())
@@ -110,11 +110,11 @@
     cluster.store()
     cluster.beat("vm-1")
     kept = cluster.fleet.kept
-    kept.take(st.KEEP + "n1", {"machines": ["vm-1"]}, 30)
+    kept.take(keys.KEEP + "n1", {"machines": ["vm-1"]}, 30)
     clock.tick(40.0)
     cluster.fleet.expire(clock())
     assert job.active
-    kept.take(st.KEEP + "n1", None, 0)
+    kept.take(keys.KEEP + "n1", None, 0)
     clock.tick(12.0)
     cluster.fleet.expire(clock())
     assert job.active
@@ -137,8 +137,8 @@
 
 def test_workers_are_sent_to_a_leader_that_only_this_node_cannot_hear(follower, state, clock):
     state.epoch = 9
-    state.keys[st.LEADER] = ({"node": "n0", "mode": "hold"}, 9)
-    follower.lead.saw_key(*state.keys[st.LEADER])
+    state.keys[keys.LEADER] = ({"node": "n0", "mode": "hold"}, 9)
+    follower.lead.saw_key(*state.keys[keys.LEADER])
     # First its lease is renewed, so that it has the time to try.
     assert follower.sends(beat()) is None
     assert asyncio.run(follower.keep(beat())) == []
@@ -147,7 +147,7 @@
     assert follower.sends(beat(token=9)) == "n0"
     assert not follower.valid("vm-1") and follower.valid("vm-2")
     asyncio.run(follower._write(shrink=True))
-    assert state.keys[st.KEEP + "n1"][0]["machines"] == ["vm-2"]
+    assert state.keys[keys.KEEP + "n1"][0]["machines"] == ["vm-2"]
     # It finds nobody there, comes back, and is not sent away again at once.
     assert follower.sends(beat(token=9)) is None
     assert asyncio.run(follower.keep(beat(token=9))) == []
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -4,8 +4,9 @@
 
 import pytest
 
-from hookwall import store as st
-from hookwall.leadership import ALONE_S, LONELY_S, PROMISE_S, SHORT_HOLD_S, Leadership, Mode, Promise, Role
+from hookwall import keys
+from hookwall.leadership import ALONE_S, LONELY_S, SHORT_HOLD_S, Leadership, Mode, Role
+from hookwall.promise import PROMISE_S, Promise
 
 
 @pytest.fixture
@@ -96,7 +97,7 @@
 def test_a_candidate_needs_a_majority(state, clock):
     lead = make(state, clock, [no, silent])
     asyncio.run(lead._campaign())
-    assert lead.role is Role.FOLLOWER and st.LEADER not in state.keys
+    assert lead.role is Role.FOLLOWER and keys.LEADER not in state.keys
 
 
 def test_the_token_is_the_stamp_of_the_leader_key(state, clock):
@@ -104,7 +105,7 @@
     lead = make(state, clock, [yes, silent])
     asyncio.run(lead._campaign())
     assert lead.role is Role.LEADER and lead.valid()
-    assert lead.token == state.keys[st.LEADER][1] == 41
+    assert lead.token == state.keys[keys.LEADER][1] == 41
 
 
 def test_a_peer_that_stands_still_does_not_hold_up_a_take_over(state, clock):
@@ -158,7 +159,7 @@
     def racer(message):
         if message["t"] == "vote":
             state.epoch += 1
-            state.keys[st.LEADER] = ({"node": "n2"}, state.epoch)
+            state.keys[keys.LEADER] = ({"node": "n2"}, state.epoch)
         return yes(message)
 
     lead = make(state, clock, [racer, yes])
@@ -168,7 +169,7 @@
 
 def test_a_restarted_node_replaces_its_earlier_self_at_once(state, clock):
     state.epoch = 3
-    state.keys[st.LEADER] = ({"node": "n0"}, 3)
+    state.keys[keys.LEADER] = ({"node": "n0"}, 3)
     lead = make(state, clock, [yes, yes])
     lead.promise.started = clock()
     lead.saw_key({"node": "n0"}, 3)
@@ -198,15 +199,15 @@
 
 def test_a_leader_by_hold_is_not_replaced_before_its_key_is_gone(state, clock):
     state.epoch = 9
-    state.keys[st.LEADER] = ({"node": "n2", "mode": "hold"}, 9)
+    state.keys[keys.LEADER] = ({"node": "n2", "mode": "hold"}, 9)
     lead = make(state, clock, [yes, yes])
-    lead.saw_key(*state.keys[st.LEADER])
+    lead.saw_key(*state.keys[keys.LEADER])
     clock.tick(60.0)
     assert not lead._may_campaign()
     # Also when this node had only known of an older key.
     lead.saw_key({"node": "n2"}, 9)
     asyncio.run(lead._campaign())
-    assert lead.role is Role.FOLLOWER and state.keys[st.LEADER][1] == 9
+    assert lead.role is Role.FOLLOWER and state.keys[keys.LEADER][1] == 9
 
 
 def test_a_leader_without_majority_removes_its_key(state, clock):
@@ -214,7 +215,7 @@
     asyncio.run(lead._campaign())
     clock.tick(LONELY_S + 0.5)
     asyncio.run(lead._look_after(clock(), True))
-    assert lead.role is Role.FOLLOWER and st.LEADER not in state.keys
+    assert lead.role is Role.FOLLOWER and keys.LEADER not in state.keys
 
 
 def test_in_an_outage_nobody_resigns_to_a_peer_that_is_as_badly_off(state, clock):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,8 +5,9 @@
 import msgspec
 import pytest
 
-from hookwall.leadership import PROMISE_S, Mode, Role
+from hookwall.leadership import Mode, Role
 from hookwall.node import Node
+from hookwall.promise import PROMISE_S
 from hookwall.settings import External, Seed, Settings
 
 
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -5,7 +5,7 @@
 import pytest
 from world import World, play
 
-from hookwall import store as st
+from hookwall import keys
 from hookwall.settings import NextState, State, Team
 
 SMALL = State(rps=150.0, write_rps=30.0, value_kb=16.0, txn_ops=12, next=NextState(write_rps=21.0, txn_ops=4))
@@ -255,7 +255,7 @@
             for ref in w.random.sample(refs, 10):
                 await w.poll(w.random.choice(list(w.nodes)), ref)
         await w.until(
-            lambda: all(w.service.keys[st.JOBS + ref][0]["phase"] == "withdrawn" for ref in refs), 60.0, "too slow"
+            lambda: all(w.service.keys[keys.JOBS + ref][0]["phase"] == "withdrawn" for ref in refs), 60.0, "too slow"
         )
 
     play(scenario, state=SMALL)
@@ -322,7 +322,7 @@
         last = w.job(5000, run_s=3.0, awaits=names)
         await w.accepted(last, w.followers()[0], within_s=60.0)
         await becomes_done(w, [a, last], 60.0)
-        parts = [k for k in w.service.keys if k.startswith(st.PARTS)]
+        parts = [k for k in w.service.keys if k.startswith(keys.PARTS)]
         await w.until(lambda: not any(k in w.service.keys for k in parts), 60.0, "parts stay for ever")
 
     play(scenario, state=State(rps=150.0, write_rps=30.0, value_kb=16.0, txn_ops=12, next=NextState(value_kb=2.0)))
--- a/tests/test_cloud.py
+++ b/tests/test_renting.py
@@ -5,9 +5,10 @@
 import pytest
 
 from hookwall import wire
-from hookwall.cloud import NoCapacity, Renting, Trouble
-from hookwall.fleet import Phase
+from hookwall.cloud_client import NoCapacity, Trouble
 from hookwall.jobs import WITHDRAWN
+from hookwall.machine import Phase
+from hookwall.renting import Renting
 
 
 class ScriptedCloud:
@@ -60,7 +61,7 @@
 
 
 def test_a_refused_pool_is_left_alone_for_a_while(cluster, renting):
-    from hookwall.cloud import Hire
+    from hookwall.renting import Hire
 
     def refuse(count):
         raise NoCapacity
@@ -75,7 +76,7 @@
 
 
 def test_an_unanswered_hire_keeps_its_name_and_counts_as_coming(cluster, renting):
-    from hookwall.cloud import Hire
+    from hookwall.renting import Hire
 
     def lose(count):
         raise Trouble("timeout")
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -7,9 +7,9 @@
 import pytest
 from conftest import CATALOG, description
 
+from hookwall.confirmer import Confirmer
 from hookwall.jobs import JobTable
 from hookwall.server import MOST_AT_ONCE, Door, listen
-from hookwall.store import Confirmer
 from hookwall.user_api import UserApi
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -6,8 +6,9 @@
 
 from hookwall import store as st
 from hookwall.client import NoAnswer
+from hookwall.pacing import Bucket
 from hookwall.settings import NextState, State
-from hookwall.store import Bucket, Refused, Store, TooLarge, Unknown
+from hookwall.store import Refused, Store, TooLarge, Unknown
 
 
 def test_a_refused_request_costs_nothing(clock):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -6,8 +6,7 @@
 import pytest
 from world import World, play
 
-from hookwall import records
-from hookwall import store as st
+from hookwall import keys, records
 from hookwall.formats import CURRENT
 from hookwall.settings import NextState, State
 
@@ -191,7 +190,7 @@
             await w.upgrade(name)
             await asyncio.sleep(2.0)
         await all_new(w)
-        values = [v for k, (v, _, _) in w.service.keys.items() if k.startswith(st.JOBS)]
+        values = [v for k, (v, _, _) in w.service.keys.items() if k.startswith(keys.JOBS)]
         assert any(records.size(v) > 1500 for v in values)
         w.service.lower()
         await w.cancel(w.followers()[0], refs[0])
@@ -232,10 +231,10 @@
     async def scenario(w: World) -> None:
         await w.upgrade("n0")
         await asyncio.sleep(4.0)
-        assert w.service.keys[st.FORMAT + "n0"][0] == {"format": CURRENT}
+        assert w.service.keys[keys.FORMAT + "n0"][0] == {"format": CURRENT}
         ref = w.job(1, run_s=3.0)
         await w.accepted(ref, "n1")
         await ended(w, [ref])
-        assert st.FORMAT + "n1" not in w.service.keys
+        assert keys.FORMAT + "n1" not in w.service.keys
 
     play(scenario, old=True)
