--- a/hookwall/placement.py
+++ b/hookwall/placement.py
@@ -28,6 +28,8 @@
     penalty: float = 0.0
     warm: frozenset[int] | set[int] = frozenset()
     stock: float = 0.0  # GB of images there that jobs of whole machines use
+    cpus_per_gpu: float = 0.0  # of the whole machine
+    memory_per_gpu: float = 0.0
     whole: bool | None = None  # whether such a job has a task there; None: not asked yet
 
 
@@ -48,18 +50,23 @@
     spread: bool = False
     spot: bool = False
     service: bool = False
+    beside_gpus: bool = False  # only what the machine's free GPUs don't need
     in_zone: dict[int, int] = field(default_factory=dict)
 
 
 def units(ask: Ask, room: Room) -> int:
     """How many of the job's tasks fit into the room."""
     n = ask.count
+    cpus, memory = room.cpus, room.memory
+    if ask.beside_gpus:
+        cpus -= room.gpus * room.cpus_per_gpu
+        memory -= room.gpus * room.memory_per_gpu
     if ask.gpus > 0:
         n = min(n, int((room.gpus + EPS) / ask.gpus))
     if ask.cpus > 0:
-        n = min(n, int((room.cpus + EPS) / ask.cpus))
+        n = min(n, int((cpus + EPS) / ask.cpus))
     if ask.memory > 0:
-        n = min(n, int((room.memory + EPS) / ask.memory))
+        n = min(n, int((memory + EPS) / ask.memory))
     return max(n, 0)
 
 
@@ -207,13 +214,39 @@
 
     The ranked shapes are: machines that have the image and are of the cheap kind if the job may use
     it; machines that have the image; any. A gang takes a shape only if it serves all tasks; an array
-    takes the first shape that serves all, and else as many as fit anywhere.
+    takes the first shape that serves all, and else as many as fit anywhere. Tasks without GPUs go
+    through this list twice.
     """
     fit = [r for r in rooms if allowed(ask, r)]
     if not fit or ask.count <= 0:
         return []
     if ask.service:
         return _singly(ask, fit)
+    if not ask.gpus and not ask.beside_gpus:
+        return _place_without_gpus(ask, fit)
+    return _place_by_shapes(ask, fit)
+
+
+def _place_without_gpus(ask: Ask, fit: Sequence[Room]) -> list[tuple[int, int]]:
+    """Tasks without GPUs first take what the free GPUs of a machine don't need, then anything.
+
+    Split greedily from the emptiest machines, an array of 60 small tasks took all CPUs of two machines,
+    and their 16 GPUs stood idle until it had ended.
+    """
+    aside = replace(ask, beside_gpus=True)
+    got = _place_by_shapes(aside, fit)
+    left = ask.count - sum(n for _, n in got)
+    if not left:
+        return got
+    if ask.gang or ask.one_zone or ask.spread:
+        return _place_by_shapes(ask, fit)
+    taken = {index for index, _ in got}
+    rest = [room for room in fit if room.index not in taken]
+    return got + _place_by_shapes(replace(ask, count=left), rest)
+
+
+def _place_by_shapes(ask: Ask, fit: Sequence[Room]) -> list[tuple[int, int]]:
+    """The first of the ranked shapes that serves the job."""
     warm = [r for r in fit if ask.image in r.warm]
     if ask.spot:
         cheap = [r for r in warm if r.spot]
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -280,7 +280,7 @@
 
 
 def test_a_job_whose_parts_are_not_known_yet_is_not_answered_404(nodes, state, clock):
-    table, key, encoded = large_record(clock)
+    _, key, encoded = large_record(clock)
     state.keys[key] = (encoded.value, 9)
     state.epoch = 9
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -118,3 +118,21 @@
     rooms = [room(0, 4, warm=[7, 8]), room(1, 4, warm=[7])]
     rooms[0].stock, rooms[1].stock = 30.0, 10.0
     assert place(ask(4, image=7), rooms) == [(1, 4)]
+
+
+def test_tasks_without_gpus_leave_free_gpus_the_cpus_that_they_need():
+    """They took the emptiest machines whole, and the GPUs there stood idle for them."""
+
+    def machine(i, gpus, cpus, **more):
+        r = room(i, gpus, cpus=cpus, memory=8.0 * cpus, **more)
+        r.cpus_per_gpu, r.memory_per_gpu = 6.0, 48.0
+        return r
+
+    rooms = [machine(0, 8, 48.0), machine(1, 0, 5.0), machine(2, 2, 20.0), machine(3, 0, 9.0)]
+    small = ask(6, gang=False, gpus=0.0, cpus=2.0)
+    assert dict(place(small, rooms)) == {3: 4, 2: 2}
+    # What does not fit beside them goes anywhere, the emptiest first.
+    assert dict(place(ask(20, gang=False, gpus=0.0, cpus=2.0), rooms)) == {1: 2, 2: 4, 3: 4, 0: 10}
+    gang = ask(2, gpus=0.0, cpus=2.0, one_zone=True)
+    assert place(gang, [machine(0, 8, 48.0), machine(1, 0, 2.0, zone=1), machine(2, 0, 2.0, zone=0)]) == [(0, 2)]
+    assert place(gang, [machine(0, 8, 48.0), machine(1, 0, 4.0)]) == [(1, 2)]
