--- a/hookwall/placement.py
+++ b/hookwall/placement.py
@@ -50,8 +50,8 @@
     spread: bool = False
     spot: bool = False
     service: bool = False
-    beside_gpus: bool = False  # only what the machine's free GPUs don't need
     in_zone: dict[int, int] = field(default_factory=dict)
+    beside_gpus: bool = False  # only what the machine's free GPUs don't need
 
 
 def units(ask: Ask, room: Room) -> int:
@@ -59,8 +59,7 @@
     n = ask.count
     cpus, memory = room.cpus, room.memory
     if ask.beside_gpus:
-        cpus -= room.gpus * room.cpus_per_gpu
-        memory -= room.gpus * room.memory_per_gpu
+        cpus, memory = _beside_gpus(room)
     if ask.gpus > 0:
         n = min(n, int((room.gpus + EPS) / ask.gpus))
     if ask.cpus > 0:
@@ -70,6 +69,11 @@
     return max(n, 0)
 
 
+def _beside_gpus(room: Room) -> tuple[float, float]:
+    """CPUs and memory that the machine's free GPUs, each with its part of the machine, don't need."""
+    return room.cpus - room.gpus * room.cpus_per_gpu, room.memory - room.gpus * room.memory_per_gpu
+
+
 def allowed(ask: Ask, room: Room) -> bool:
     """Whether the job's own conditions admit the machine."""
     return (
@@ -81,7 +85,9 @@
 
 def idle(ask: Ask, room: Room) -> float:
     """Idle GPUs; tasks without GPUs count CPUs instead."""
-    return room.gpus if ask.gpus > 0 else room.cpus
+    if ask.gpus > 0:
+        return room.gpus
+    return _beside_gpus(room)[0] if ask.beside_gpus else room.cpus
 
 
 def _tie(ask: Ask, room: Room) -> tuple[object, ...]:
