--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -137,7 +137,7 @@
     record = plain(job.record())
     cluster.stamp += 1
     cluster.table.apply("hookwall/job/" + job.ref, {**record, "phase": "withdrawn"}, cluster.stamp)
-    assert cluster.scheduler.picture(cluster.clock()).usage[job.team].gpus == 1.0
+    assert cluster.scheduler.view(cluster.clock()).usage[job.team].gpus == 1.0
     assert cluster.beat("vm-1", running(job)) == [("stop", "run-000001/0", 1)]
     cluster.beat("vm-1", running(job, "exited", "halted"))
     assert not job.active
@@ -159,7 +159,7 @@
     first = running(job, "exited", "done")[:1]
     cluster.beat("vm-1", first + running(job)[1:])
     assert job.n_done == 2 and list(job.active) == [1]
-    assert cluster.scheduler.picture(cluster.clock()).usage[job.team].gpus == 2.0
+    assert cluster.scheduler.view(cluster.clock()).usage[job.team].gpus == 2.0
 
 
 def test_a_noticed_machine_saves_its_tasks_and_gets_no_more(cluster):
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -270,9 +270,9 @@
     cluster.scheduler.round()
     cluster.clock.tick(1.5)
     up(cluster, "vm-1", "vm-2", "vm-3", "vm-4")
-    p = cluster.scheduler.picture(cluster.clock())
+    p = cluster.scheduler.view(cluster.clock())
     for g in gangs:
-        cluster.scheduler._reserve(g, cluster.scheduler.ask(g, 2), p, cluster.clock())
+        cluster.scheduler.reservations.reserve(g, cluster.scheduler.ask(g, 2), p, cluster.clock())
     assert sorted(p.held.values()) == [gangs[0].ref] * 2 + [gangs[1].ref] * 2
 
 
