Revert: tasks without GPUs take what a machine's free GPUs don't need

Cause looked at: arrays of small CPU tasks take the emptiest machines whole. Spread beside the busy GPUs instead, they keep 28 of 32 CPUs on many machines from becoming free, so gangs of whole machines wait longer, and each cold machine costs a fetch.

--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -143,8 +143,6 @@
         price = info.spot_price if m.spot else info.price
         stock = self.stock(m)
         m.room = Room(m.index, m.type, m.zone, m.spot, cpus, gpus, memory, price, float(m.errors), warm, stock)
-        if info.gpus > 0:
-            m.room.cpus_per_gpu, m.room.memory_per_gpu = info.cpus / info.gpus, info.memory / info.gpus
         return m.room
 
     def adopt(self, job: Job) -> None:
--- a/hookwall/placement.py
+++ b/hookwall/placement.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass, field, replace
 
 EPS = 1e-6
-FEW_GPUS = 2  # whose CPUs a small job may take
 NOWHERE = -1  # the zone of a machine that only records name
 
 
@@ -29,8 +28,6 @@
     penalty: float = 0.0
     warm: frozenset[int] | set[int] = frozenset()
     stock: float = 0.0  # GB of images there that jobs of whole machines use
-    cpus_per_gpu: float = 0.0  # of the whole machine
-    memory_per_gpu: float = 0.0
     whole: bool | None = None  # whether such a job has a task there; None: not asked yet
 
 
@@ -52,29 +49,20 @@
     spot: bool = False
     service: bool = False
     in_zone: dict[int, int] = field(default_factory=dict)
-    beside_gpus: bool = False  # only what the machine's free GPUs don't need
 
 
 def units(ask: Ask, room: Room) -> int:
     """How many of the job's tasks fit into the room."""
     n = ask.count
-    cpus, memory = room.cpus, room.memory
-    if ask.beside_gpus:
-        cpus, memory = _beside_gpus(room)
     if ask.gpus > 0:
         n = min(n, int((room.gpus + EPS) / ask.gpus))
     if ask.cpus > 0:
-        n = min(n, int((cpus + EPS) / ask.cpus))
+        n = min(n, int((room.cpus + EPS) / ask.cpus))
     if ask.memory > 0:
-        n = min(n, int((memory + EPS) / ask.memory))
+        n = min(n, int((room.memory + EPS) / ask.memory))
     return max(n, 0)
 
 
-def _beside_gpus(room: Room) -> tuple[float, float]:
-    """CPUs and memory that the machine's free GPUs, each with its part of the machine, don't need."""
-    return room.cpus - room.gpus * room.cpus_per_gpu, room.memory - room.gpus * room.memory_per_gpu
-
-
 def allowed(ask: Ask, room: Room) -> bool:
     """Whether the job's own conditions admit the machine."""
     return (
@@ -86,9 +74,7 @@
 
 def idle(ask: Ask, room: Room) -> float:
     """Idle GPUs; tasks without GPUs count CPUs instead."""
-    if ask.gpus > 0:
-        return room.gpus
-    return _beside_gpus(room)[0] if ask.beside_gpus else room.cpus
+    return room.gpus if ask.gpus > 0 else room.cpus
 
 
 def _tie(ask: Ask, room: Room) -> tuple[object, ...]:
@@ -221,44 +207,13 @@
 
     The ranked shapes are: machines that have the image and are of the cheap kind if the job may use
     it; machines that have the image; any. A gang takes a shape only if it serves all tasks; an array
-    takes the first shape that serves all, and else as many as fit anywhere. Tasks without GPUs go
-    through this list twice.
+    takes the first shape that serves all, and else as many as fit anywhere.
     """
     fit = [r for r in rooms if allowed(ask, r)]
     if not fit or ask.count <= 0:
         return []
     if ask.service:
         return _singly(ask, fit)
-    if not ask.gpus and not ask.beside_gpus:
-        return _place_without_gpus(ask, fit)
-    return _place_by_shapes(ask, fit)
-
-
-def _place_without_gpus(ask: Ask, fit: Sequence[Room]) -> list[tuple[int, int]]:
-    """Tasks without GPUs take what the free GPUs of a machine don't need, first where their image is.
-
-    Split greedily from the emptiest machines, an array of 60 small tasks took all CPUs of two machines,
-    and their 16 GPUs stood idle until it had ended. A job that would take few GPUs' CPUs goes wherever its
-    image is rather than wait for a fetch.
-    """
-    aside = replace(ask, beside_gpus=True)
-    warm = [r for r in fit if ask.image in r.warm]
-    got = _zones(aside, warm, whole=True) if warm else []
-    if got:
-        return got
-    few = FEW_GPUS * max(r.cpus_per_gpu for r in fit)
-    if ask.cpus * ask.count <= few or ask.gang or ask.one_zone or ask.spread:
-        return _place_by_shapes(ask, fit)
-    got = _place_by_shapes(aside, fit)
-    left = ask.count - sum(n for _, n in got)
-    if not left:
-        return got
-    taken = {index for index, _ in got}
-    return got + _place_by_shapes(replace(ask, count=left), [r for r in fit if r.index not in taken])
-
-
-def _place_by_shapes(ask: Ask, fit: Sequence[Room]) -> list[tuple[int, int]]:
-    """The first of the ranked shapes that serves the job."""
     warm = [r for r in fit if ask.image in r.warm]
     if ask.spot:
         cheap = [r for r in warm if r.spot]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -118,23 +118,3 @@
     rooms = [room(0, 4, warm=[7, 8]), room(1, 4, warm=[7])]
     rooms[0].stock, rooms[1].stock = 30.0, 10.0
     assert place(ask(4, image=7), rooms) == [(1, 4)]
-
-
-def test_tasks_without_gpus_leave_free_gpus_the_cpus_that_they_need():
-    """They took the emptiest machines whole, and the GPUs there stood idle for them."""
-
-    def machine(i, gpus, cpus, **more):
-        r = room(i, gpus, cpus=cpus, memory=8.0 * cpus, **more)
-        r.cpus_per_gpu, r.memory_per_gpu = 6.0, 48.0
-        return r
-
-    rooms = [machine(0, 8, 48.0), machine(1, 0, 5.0), machine(2, 2, 20.0), machine(3, 0, 9.0)]
-    # Twelve tasks would take four GPUs' CPUs: what is beside GPUs first, the rest from the emptiest.
-    array = ask(12, gang=False, gpus=0.0, cpus=2.0)
-    assert dict(place(array, rooms)) == {1: 2, 2: 4, 3: 4, 0: 2}
-    # A small job rather goes where its image is, and beside GPUs if it is there as well.
-    small = ask(3, gang=False, gpus=0.0, cpus=2.0, image=7)
-    assert place(small, [*rooms, machine(4, 8, 48.0, warm=(7,))]) == [(4, 3)]
-    assert place(small, [*rooms, machine(4, 8, 48.0, warm=(7,)), machine(5, 0, 8.0, warm=(7,))]) == [(5, 3)]
-    gang = ask(2, gpus=0.0, cpus=2.0, one_zone=True)
-    assert place(gang, [machine(0, 8, 48.0), machine(1, 0, 2.0, zone=1), machine(2, 0, 2.0)]) == [(0, 2)]
