--- a/hookwall/placement.py
+++ b/hookwall/placement.py
@@ -206,7 +206,7 @@
     """Where the job's tasks go now: pairs of machine and number of tasks.
 
     The ranked shapes are: machines that have the image and are of the cheap kind if the job may use
-    it; for tasks without GPUs, any of the cheap kind; machines that have the image; any. A gang takes a shape only if it serves all tasks; an array
+    it; machines that have the image; any. A gang takes a shape only if it serves all tasks; an array
     takes the first shape that serves all, and else as many as fit anywhere.
     """
     fit = [r for r in rooms if allowed(ask, r)]
@@ -221,11 +221,6 @@
             got = _zones(ask, cheap, whole=True)
             if got:
                 return got
-    if ask.spot and not ask.gpus:
-        # Small tasks break up machines that gangs need whole, and gangs can't use cheap ones.
-        got = _zones(ask, [r for r in fit if r.spot], whole=True)
-        if got:
-            return got
     if warm and len(warm) < len(fit):
         got = _zones(ask, warm, whole=True)
         if got:
