--- a/hookwall/job_writer.py
+++ b/hookwall/job_writer.py
@@ -94,8 +94,8 @@
             pass
 
     def record_bytes(self) -> float:
-        """How many bytes of the plain form the record of one job may take: more starts are not made at once."""
-        plain = self.store.limits.value_kb * 1024
+        """How many bytes the starts of one job may take in the plain form: more are not made at once."""
+        plain = records.plain_starts_bytes(self.store.limits.value_kb)
         if not self.new_formats():
             return plain
         parts = max(1, min(MOST_PARTS, self.store.txn_ops // 2))
--- a/hookwall/records.py
+++ b/hookwall/records.py
@@ -23,6 +23,8 @@
 LIMIT_SHARE = 0.9  # of a value's size limit: the service may count other white space than we write
 LIMIT_MARGIN = 64  # bytes; a cancellation changes the phase of a record in place
 PART_NAME_BYTES = 12
+PLAIN_SHARE = 0.75  # of a value, for a record in its plain form
+DESCRIPTION_BYTES = 700
 FRAME_BYTES = 64  # of JSON around the packed texts
 MOST_UNPACKED = 4 * 1024 * 1024  # bytes; more than any legal record has
 
@@ -96,6 +98,11 @@
     return max(256, int(value_kb * 1024 * LIMIT_SHARE) - LIMIT_MARGIN)
 
 
+def plain_starts_bytes(value_kb: float) -> float:
+    """How many bytes of a value that holds a record in its plain form are left for its starts."""
+    return value_kb * 1024 * PLAIN_SHARE - DESCRIPTION_BYTES
+
+
 def compress(value: object) -> str:
     """Any JSON value as a short text without characters that JSON escapes."""
     return b64encode(zlib.compress(msgspec.json.encode(value), 6)).decode()
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -14,6 +14,7 @@
 from hookwall.jobs import DONE, OPEN, Job, JobTable
 from hookwall.placement import EPS, Ask, Room, place
 from hookwall.preemption import Preemption
+from hookwall.records import plain_starts_bytes
 from hookwall.reservations import Reservations
 from hookwall.round_state import QueuedJob, RoundState, Usage
 from hookwall.settings import Params
@@ -24,6 +25,9 @@
 MOST_ROUND_S = 0.12  # reports and health checks wait meanwhile
 MOST_FRESH = 60  # jobs with starts that wait to be stored
 HOLD_AFTER_S = 1.0
+MACHINE_BYTES = 40  # of a record, for each machine that it names
+START_BYTES = 14  # and for each start, with what it leaves in the ranges of tasks that are done
+LEAST_STARTS = 8  # that any record can name
 
 
 class Scheduler:
@@ -44,8 +48,8 @@
         self.resume: tuple | None = None
         self.waiting: dict[str, QueuedJob] = {}
         self.fresh_count: Callable[[], int] = lambda: 0
-        # How many bytes the state of one job may take in its record (`record_bytes` in job_writer.py).
-        self.record_bytes: Callable[[], float] = lambda: params.state.value_kb * 1024
+        # How many bytes the starts of one job may take in the plain form of its record (job_writer.py).
+        self.record_bytes: Callable[[], float] = lambda: plain_starts_bytes(params.state.value_kb)
         self.last_start: dict[str, float] = {}  # when a class is expected to have begun at the latest
         for o in params.objectives:
             if o.kind == "wait" and o.job_class and o.within_s:
@@ -314,8 +318,8 @@
 
     def _widest(self, job: Job) -> int:
         """How many more starts the job's record can name: a value has a limit, and ranges are short."""
-        room = self.record_bytes() * 0.75 - 700 - 40 * len({a.machine for a in job.active.values()})
-        return max(0, int(room / 14) - len(job.active))
+        room = self.record_bytes() - MACHINE_BYTES * len({a.machine for a in job.active.values()})
+        return max(0, max(LEAST_STARTS, int(room / START_BYTES)) - len(job.active))
 
     def _take(self, state: RoundState, index: int, job: Job, n: int) -> None:
         spec = job.spec
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -326,3 +326,34 @@
         await w.until(lambda: not any(k in w.service.keys for k in parts), 60.0, "parts stay for ever")
 
     play(scenario, state=State(rps=150.0, write_rps=30.0, value_kb=16.0, txn_ops=12, next=NextState(value_kb=2.0)))
+
+
+def test_records_in_parts_survive_late_writes_and_changes_of_leader():
+    """Parts are written, replaced and removed while a fifth of the transactions come late, after newer ones."""
+    tiny = State(rps=150.0, write_rps=50.0, value_kb=16.0, txn_ops=12, next=NextState(value_kb=0.5, txn_ops=4))
+
+    async def scenario(w: World) -> None:
+        await asyncio.sleep(2.0)
+        w.service.lower()
+        refs = []
+        for n in range(1, 4):
+            ends = {task: 4.0 + (task * 7) % 19 for task in range(120)}
+            refs.append(w.job(n, pieces=120, cards=0.0, cores=1.0, memGb=1.0, ends=ends))
+            await w.accepted(refs[-1])
+        last = w.job(9, run_s=3.0, awaits=refs)
+        await w.accepted(last)
+        w.service.late = lambda node, body: w.random.uniform(2.0, 12.0) if w.random.random() < 0.2 else None
+        for _ in range(3):
+            await asyncio.sleep(9.0)
+            assert any(k.startswith(keys.PARTS) for k in w.service.keys)
+            lead = (await w.led()).settings.node_name
+            w.crash(lead)
+            w.start(lead)
+        w.service.late = lambda node, body: None
+        await w.led()
+        await becomes_done(w, [*refs, last], 120.0)
+        assert w.service.refusals[400] == 0
+        left = [k for k in w.service.keys if k.startswith(keys.PARTS)]
+        await w.until(lambda: not any(k in w.service.keys for k in left), 180.0, "parts stay for ever")
+
+    play(scenario, machines=24, state=tiny)
