--- a/hookwall/__init__.py
+++ b/hookwall/__init__.py
@@ -1,3 +1,3 @@
-"""hookwall: a cluster scheduler. Each module is one duty; see docs/design.md."""
+"""hookwall: a cluster scheduler. See README.md for its modules and docs/design.md for how it works."""
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -207,42 +207,54 @@
         elif "sok" in m:
             self.peer_state_ok.pop(node, None)
         self.on_about(node, m)
-        ok = False
-        more: dict = {}
-        if kind == "ping":
-            token = m.get("tok")
-            if isinstance(token, int) and token > 0:
-                ok = self.promise.renew(node, token)
-                if ok:
-                    self.leader_heard = self.clock()
-                if ok and m.get("hint") is not None:
-                    self.on_hint(m["hint"])
-                if ok and self.role is Role.FOLLOWER:
-                    self.on_lent(m.get("lent"))
-                if ok:
-                    more = self.reply(m)
-                if token > self.token and self.role.leads() and ok:
-                    self.step_down("a peer leads with a newer token")
-        elif kind == "vote":
-            ok = not self.role.leads() and self.promise.vote(node)
-        elif kind == "release":
-            token = m.get("tok")
-            if isinstance(token, int):
-                self.promise.release(node, token)
-            if m.get("resign") == self.me:
-                self.next_try = 0.0
-            ok = True
-        elif kind == "fit":
-            self.probe_now.set()
-            more = {"age": self.clock() - self.store.last_ok if self.store.healthy() else None}
-        elif kind == "cancelled":
-            ok, more = True, self.on_told(m)
+        answers = {
+            "ping": self._on_ping, "vote": self._on_vote, "release": self._on_release, "fit": self._on_fit,
+            "cancelled": self._on_cancelled,
+        }  # fmt: skip
+        answer = answers[kind](node, m) if isinstance(kind, str) and kind in answers else {"ok": False}
         beats = self.beats_seen if self.clock() - self.last_beat < 3.0 else 0
         return {
-            "ok": ok, "sok": self.store.fresh(), "top": self.promise.token, "beats": beats, "want": self.want(),
-            **self.about(), **more,
+            "sok": self.store.fresh(), "top": self.promise.token, "beats": beats, "want": self.want(), **self.about(),
+            **answer,
         }  # fmt: skip
 
+    def _on_ping(self, node: str, m: dict) -> dict:
+        """A leader asks for support; a follower says that it is there."""
+        token = m.get("tok")
+        if not isinstance(token, int) or token <= 0 or not self.promise.renew(node, token):
+            return {"ok": False}
+        self.leader_heard = self.clock()
+        if m.get("hint") is not None:
+            self.on_hint(m["hint"])
+        if self.role is Role.FOLLOWER:
+            self.on_lent(m.get("lent"))
+        more = self.reply(m)
+        if token > self.token and self.role.leads():
+            self.step_down("a peer leads with a newer token")
+        return {"ok": True, **more}
+
+    def _on_vote(self, node: str, m: dict) -> dict:
+        """A candidate asks for support."""
+        return {"ok": not self.role.leads() and self.promise.vote(node)}
+
+    def _on_release(self, node: str, m: dict) -> dict:
+        """A leader gives support back, and may name who is to lead next."""
+        token = m.get("tok")
+        if isinstance(token, int):
+            self.promise.release(node, token)
+        if m.get("resign") == self.me:
+            self.next_try = 0.0
+        return {"ok": True}
+
+    def _on_fit(self, node: str, m: dict) -> dict:
+        """A leader asks whether the state service answers this node; it is asked at once."""
+        self.probe_now.set()
+        return {"ok": False, "age": self.clock() - self.store.last_ok if self.store.healthy() else None}
+
+    def _on_cancelled(self, node: str, m: dict) -> dict:
+        """A node tells of cancellations for its user's sake."""
+        return {"ok": True, **self.on_told(m)}
+
     def _note(self, peer: Peer, answer: dict) -> None:
         self.peer_heard[peer.name] = self.clock()
         self.on_about(peer.name, answer)
