--- /dev/null
+++ b/tests/histories.py
@@ -0,0 +1,340 @@
+"""Random short histories of overlapping troubles, and the invariants that `ran_twice` rests on.
+
+A history is drawn from a seed: a few long jobs, and several troubles that begin within seconds of each other. After
+every step of the world, and whenever a worker executes a launch, the invariants are checked:
+
+- at most one node is a valid leader;
+- a task that is on a machine is named by the newest stored record, with that machine, session and attempt;
+- an attempt of a task is never launched on two machines.
+
+`python tests/histories.py FIRST LAST` plays the seeds of a range on all cores and prints those that break a rule.
+"""
+
+import asyncio
+import logging
+import random
+import sys
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).parent))
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from world import Task, Worker, World, play
+
+from hookwall import keys, records
+from hookwall.records import MalformedRecord, MissingParts
+
+MACHINES = 6
+JOBS = 5
+QUIET_S = 45.0  # after the last trouble has begun
+SPREAD_S = 16.0  # troubles begin within so long
+
+
+@dataclass
+class Invariants:
+    """Checks a world against the claims of docs/design.md; what breaks is added to `world.broken` once each."""
+
+    world: World
+    launched: dict[tuple[str, int], str] = field(default_factory=dict)
+    told: set[str] = field(default_factory=set)
+
+    def watch(self) -> None:
+        """Check from now on."""
+        self.world.on_step.append(self.check)
+        self.world.on_launch.append(self.check_launch)
+
+    def _breaks(self, kind: str, what: str) -> None:
+        if (kind + what) not in self.told:
+            self.told.add(kind + what)
+            self.world.broken.append(f"{kind}: {what} at {self.world.now():.1f}")
+
+    def check(self) -> None:
+        """What has to hold at any moment."""
+        valid = [name for name, node in self.world.nodes.items() if node.leadership.valid()]
+        if len(valid) > 1:
+            self._breaks("two_leaders", " and ".join(sorted(valid)))
+        starts: dict[str, set[tuple[str, int, int, int]] | None] = {}
+        for worker in self.world.workers.values():
+            for piece, task in worker.tasks.items():
+                if task.phase != "exited" and self.world.holds(worker, self.world.now()):
+                    self._check_recorded(worker, piece, task, starts)
+
+    def _check_recorded(
+        self, worker: Worker, piece: str, task: Task, starts: dict[str, set[tuple[str, int, int, int]] | None]
+    ) -> None:
+        ref, _, number = piece.rpartition("/")
+        if ref not in starts:
+            starts[ref] = self._stored_starts(ref)
+        recorded = starts[ref]
+        if recorded is not None and (worker.name, worker.tenure, task.attempt, int(number)) not in recorded:
+            self._breaks("not_recorded", f"{piece} try {task.attempt} on {worker.name}")
+
+    def _stored_starts(self, ref: str) -> set[tuple[str, int, int, int]] | None:
+        """What the newest record names; None where it can't be read."""
+        stored = self.world.service.keys
+        value = stored.get(keys.JOBS + ref, ({}, 0, None))[0]
+        try:
+            record = records.decode(ref, value, lambda key: stored.get(key, (None, 0, None))[0])
+        except (MissingParts, MalformedRecord):
+            return None
+        return {(m, s, a, task) for m, s, a, tasks in record.on for task in records.unpack_numbers(tasks)}
+
+    def check_launch(self, worker: Worker, piece: str, attempt: int) -> None:
+        """A worker executes a launch for the first time."""
+        where = self.launched.setdefault((piece, attempt), worker.name)
+        if where != worker.name:
+            self._breaks("attempt_twice", f"{piece} try {attempt} on {where} and {worker.name}")
+
+
+class History:
+    """Troubles drawn from one seed."""
+
+    def __init__(self, world: World, seed: int) -> None:
+        self.world, self.random = world, random.Random(seed)
+        self.log: list[str] = []
+
+    def note(self, what: str) -> None:
+        self.log.append(f"{self.world.now():.1f} {what}")
+
+    def span(self, least: float, most: float) -> float:
+        return self.random.uniform(least, most)
+
+    def node(self) -> str:
+        """A node, the leader as often as all others together."""
+        lead = next((n for n, node in self.world.nodes.items() if node.leadership.role.leads()), None)
+        if lead is not None and self.random.random() < 0.5:
+            return lead
+        return self.random.choice(self.world.names)
+
+    def worker(self) -> Worker | None:
+        return self.random.choice(list(self.world.workers.values())) if self.world.workers else None
+
+    # -- troubles: each lasts until it returns -------------------------------------------------------
+
+    async def crash(self) -> None:
+        name, down_s = self.node(), self.random.choice([0.1, 0.3, 0.5, self.span(1.0, 9.0)])
+        if name not in self.world.nodes:
+            return
+        self.note(f"{name} ends, back in {down_s:.1f}")
+        self.world.crash(name)
+        await asyncio.sleep(down_s)
+        if name not in self.world.nodes:
+            self.world.start(name)
+
+    async def stand_still(self) -> None:
+        name, for_s = self.node(), self.span(0.5, 9.0)
+        self.note(f"{name} stands still for {for_s:.1f}")
+        self.world.freeze(name)
+        await asyncio.sleep(for_s)
+        self.world.thaw(name)
+
+    async def _member(self, group: set[Any], item: Any, what: str, least: float = 1.0, most: float = 20.0) -> None:
+        """Something belongs to a set of the world for a while."""
+        for_s = self.span(least, most)
+        if item in group:
+            return
+        self.note(f"{item}: {what} for {for_s:.1f}")
+        group.add(item)
+        await asyncio.sleep(for_s)
+        group.discard(item)
+
+    async def refused(self) -> None:
+        await self._member(self.world.service.refused, self.node(), "refused by the state service")
+
+    async def cut_from_state(self) -> None:
+        await self._member(self.world.service.cut, self.node(), "no answer from the state service")
+
+    async def watch_stands(self) -> None:
+        await self._member(self.world.service.no_watch, self.node(), "its watch is not answered")
+
+    async def peers_apart(self) -> None:
+        one, other = self.random.sample(self.world.names, 2)
+        await self._member(self.world.apart, frozenset((one, other)), "apart")
+
+    async def node_alone(self) -> None:
+        name = self.node()
+        await asyncio.gather(
+            *(self._member(self.world.apart, frozenset((name, other)), "apart", 4.0, 16.0)
+              for other in self.world.names if other != name)
+        )  # fmt: skip
+
+    async def zone_cut(self) -> None:
+        """A zone's workers reach one node only, which reaches no other node."""
+        name, zone, for_s = self.node(), self.random.choice(["east", "west"]), self.span(6.0, 25.0)
+        self.note(f"zone {zone} with {name} cut off for {for_s:.1f}")
+        inside = [w for w in self.world.workers.values() if w.zone == zone]
+        pairs = {frozenset((name, other)) for other in self.world.names if other != name}
+        for worker in self.world.workers.values():
+            worker.reached = (lambda node: node == name) if worker in inside else (lambda node: node != name)
+        self.world.apart |= pairs
+        await asyncio.sleep(for_s)
+        self.world.apart -= pairs
+        for worker in self.world.workers.values():
+            worker.reached = lambda node: True
+
+    async def kept_late(self) -> None:
+        """A machine comes to a follower only when its lease is nearly over, and the leader hears late of that."""
+        name, worker = self.node(), self.worker()
+        lead = self.world.leader()
+        if lead is None or worker is None or lead.settings.node_name == name or worker.hung:
+            return
+        before_s, for_s, at_s = self.span(0.2, 3.0), self.span(5.0, 15.0), self.span(-1.0, 1.0)
+        self.note(f"{worker.name} comes to {name} {before_s:.1f} before its lease ends, for {for_s:.1f}")
+        pairs = {frozenset((name, other)) for other in self.world.names if other != name}
+        self.world.apart |= pairs
+        worker.reached = lambda node: node == name
+        worker.hung, worker.node = True, self.world.names.index(name)
+        end = worker.lease_from + self.world.params.workers.lease_s
+        await asyncio.sleep(max(0.0, end - before_s + at_s - self.world.now()))
+        trouble = self.world.go(self.random.choice([self.refused, self.slow, self.watch_stands, self.late_writes])())
+        await asyncio.sleep(max(0.0, end - before_s - self.world.now()))
+        worker.hung = False
+        await asyncio.sleep(for_s)
+        self.world.apart -= pairs
+        worker.reached = lambda node: True
+        await trouble
+
+    async def unreached(self) -> None:
+        """Workers of a zone don't reach some node."""
+        name, for_s = self.node(), self.span(3.0, 16.0)
+        some = [w for w in self.world.workers.values() if self.random.random() < 0.6]
+        self.note(f"{[w.name for w in some]} don't reach {name} for {for_s:.1f}")
+        before = [w.reached for w in some]
+        for worker, reached in zip(some, before, strict=True):
+            worker.reached = lambda node, reached=reached: node != name and reached(node)
+        await asyncio.sleep(for_s)
+        for worker in some:
+            worker.reached = lambda node: True
+
+    async def outage(self) -> None:
+        for_s = self.span(0.5, 20.0)
+        if self.world.service.down:
+            return
+        self.note(f"outage for {for_s:.1f}")
+        self.world.service.outage(True)
+        await asyncio.sleep(for_s)
+        self.world.service.outage(False)
+
+    async def slow(self) -> None:
+        for_s, latency_s = self.span(3.0, 15.0), self.span(0.2, 1.6)
+        self.note(f"state service takes {latency_s:.1f} for {for_s:.1f}")
+        self.world.service.latency_s = latency_s
+        await asyncio.sleep(for_s)
+        self.world.service.latency_s = 0.004
+
+    async def late_writes(self) -> None:
+        for_s, share, at_once = self.span(4.0, 15.0), self.random.choice([0.2, 0.5, 1.0]), self.random.random() < 0.3
+        self.note(f"{share:.0%} of writes late for {for_s:.1f}, at once: {at_once}")
+        self.world.service.late = lambda node, body: (
+            (0.0 if at_once else self.span(2.0, 12.0)) if self.random.random() < share else None
+        )
+        await asyncio.sleep(for_s)
+        self.world.service.late = lambda node, body: None
+
+    async def late_reads(self) -> None:
+        for_s, share = self.span(4.0, 15.0), self.random.choice([0.2, 0.6])
+        self.note(f"answers to {share:.0%} of reads late for {for_s:.1f}")
+        self.world.service.late_answer = lambda node, path: (
+            self.span(0.3, 1.4) if self.random.random() < share else 0.0
+        )
+        await asyncio.sleep(for_s)
+        self.world.service.late_answer = lambda node, path: 0.0
+
+    async def late_copies(self) -> None:
+        self.note("late copies of reports")
+        for _ in range(30):
+            await asyncio.sleep(self.span(0.1, 1.0))
+            worker = self.worker()
+            if worker is not None and worker.sent:
+                body = self.random.choice(worker.sent[-12:])
+                for name in list(self.world.nodes):
+                    self.world.go(self.world.beat(name, body))
+
+    async def _worker_is(self, what: str, least: float, most: float) -> None:
+        """Some workers hang, are deaf or mute for a while, a lease or so."""
+        for_s = self.span(least, most)
+        some = [w for w in self.world.workers.values() if self.random.random() < 0.35]
+        self.note(f"{[w.name for w in some]} {what} for {for_s:.1f}")
+        for worker in some:
+            setattr(worker, what, True)
+        await asyncio.sleep(for_s)
+        for worker in some:
+            setattr(worker, what, False)
+
+    async def hung(self) -> None:
+        await self._worker_is("hung", 1.0, 14.0)
+
+    async def deaf(self) -> None:
+        await self._worker_is("deaf", 1.0, 14.0)
+
+    async def mute(self) -> None:
+        await self._worker_is("mute", 1.0, 14.0)
+
+    def kinds(self) -> list[Callable[[], Any]]:
+        return [
+            self.crash, self.crash, self.crash, self.stand_still, self.stand_still, self.refused, self.refused,
+            self.cut_from_state, self.watch_stands, self.peers_apart, self.peers_apart, self.node_alone,
+            self.zone_cut, self.zone_cut, self.kept_late, self.kept_late, self.kept_late, self.unreached,
+            self.outage, self.slow, self.late_writes, self.late_writes, self.late_reads, self.late_copies,
+            self.hung, self.deaf, self.mute,
+        ]  # fmt: skip
+
+    # -- one history -------------------------------------------------------------------------------
+
+    async def play(self, world: World) -> None:
+        refs = [
+            world.job(n, run_s=self.span(15.0, 120.0), pieces=self.random.choice([1, 2, 4]),
+                      shape=self.random.choice(["batch", "batch", "ensemble"]))
+            for n in range(1, JOBS + 1)
+        ]  # fmt: skip
+        for ref in refs:
+            await world.accepted(ref)
+        await asyncio.sleep(self.span(1.0, 6.0))
+        troubles = [world.go(self._begin(self.random.choice(self.kinds()))) for _ in range(self.random.randint(3, 7))]
+        await asyncio.gather(*troubles)
+        await asyncio.sleep(QUIET_S)
+
+    async def _begin(self, trouble: Callable[[], Any]) -> None:
+        await asyncio.sleep(self.span(0.0, SPREAD_S))
+        await trouble()
+
+
+def broken_by(seed: int, quiet: bool = True) -> tuple[int, list[str], list[str]]:
+    """Play the history of a seed: what it broke, and its troubles."""
+    if quiet:
+        logging.disable(logging.CRITICAL)
+    found: list[str] = []
+    log: list[str] = []
+
+    async def scenario(world: World) -> None:
+        history = History(world, seed)
+        Invariants(world).watch()
+        try:
+            await history.play(world)
+        finally:
+            found.extend(world.broken)
+            log.extend(history.log)
+            world.broken.clear()
+
+    play(scenario, machines=MACHINES)
+    return seed, found, log
+
+
+def main(first: int, last: int) -> int:
+    """Play a range of seeds on all cores."""
+    failed = 0
+    with ProcessPoolExecutor() as pool:
+        for seed, found, log in pool.map(broken_by, range(first, last), chunksize=4):
+            if found:
+                failed += 1
+                print(f"seed {seed}", *found, *log, sep="\n    ", flush=True)
+    print(f"{failed} of {last - first} histories broke an invariant or a rule")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
--- a/tests/world.py
+++ b/tests/world.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import contextvars
 import json
 import random
 import selectors
+import types
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
@@ -21,6 +23,7 @@
 from hookwall.settings import Cloud, External, Params, Seed, Settings, State, Team, Workers
 
 STEP_S = 0.1
+RUNS_IN: contextvars.ContextVar[str] = contextvars.ContextVar("the node that a task belongs to")
 WIRE_S = 0.002
 
 
@@ -66,6 +69,7 @@
         self.no_watch: set[str] = set()  # nodes whose watches are never answered
         self.cut: set[str] = set()  # nodes whose requests get no answer
         self.late: Callable[[str, dict], float | None] = lambda node, body: None
+        self.late_answer: Callable[[str, str], float] = lambda node, path: 0.0  # how late reads are answered
         self.latency_s = 0.004
         self.limits = world.params.state  # those in force now
         self.written: list[tuple[float, int]] = []  # when, and how many changes: for the limit of a second
@@ -114,7 +118,8 @@
             status, out = await self.watch(node, path, timeout)
         else:
             status, out = self.answer(node, method, path, body)
-        await asyncio.sleep(self.latency_s / 2)
+        late_s = self.late_answer(node, path) if method == "GET" else 0.0
+        await asyncio.sleep(self.latency_s / 2 + late_s)
         if node in self.cut:
             await asyncio.sleep(timeout)
             raise NoAnswer("cut")
@@ -348,6 +353,8 @@
             if o["verb"] == "launch":
                 if task is None:
                     self.tasks[piece] = Task(o["try"], "pulling", w.now())
+                    for check in w.on_launch:
+                        check(self, piece, o["try"])
                 elif task.attempt != o["try"]:
                     w.broken.append(f"in_use: {piece} try {o['try']} on {self.name}")
             elif task is not None and task.attempt == o["try"]:
@@ -426,6 +433,10 @@
         self.apart: set[frozenset[str]] = set()  # pairs of nodes that don't reach each other
         self.serial = 0
         self.beside: set[asyncio.Task] = set()
+        self.frozen: dict[str, asyncio.Event] = {}  # nodes that stand still, until their event is set
+        self.on_step: list[Callable[[], None]] = []
+        self.on_launch: list[Callable[[Worker, str, int], None]] = []  # a worker executes a launch
+        self.loop.set_task_factory(self._task)
         self.go(self._steps())
 
     def now(self) -> float:
@@ -445,6 +456,8 @@
             for worker in list(self.workers.values()):
                 worker.step(now)
             self._check(now)
+            for check in self.on_step:
+                check()
 
     # -- nodes -----------------------------------------------------------------------------------
 
@@ -460,9 +473,36 @@
         node.client.call = lambda session, method, url, body, t: self.cloud.call(name, method, path(url), body, t)
         node.leadership.peers = [Link(self, name, n) for n in self.names if n != name]
         self.nodes[name] = node
-        self.running[name] = self.go(node.work())
+        self.running[name] = contextvars.Context().run(self._work, name, node)
         return node
 
+    def _work(self, name: str, node: Node) -> asyncio.Task:
+        RUNS_IN.set(name)
+        return self.go(node.work())
+
+    def _task(self, loop: asyncio.AbstractEventLoop, work: Any, **options: Any) -> asyncio.Task:
+        """What a node does stands still with the node; tasks inherit the context of who made them."""
+        name = RUNS_IN.get(None)
+        return asyncio.Task(work if name is None else self._with_node(name, work), loop=loop, **options)
+
+    async def _with_node(self, name: str, work: Any) -> Any:
+        return await _step_by_step(work, lambda: self.frozen.get(name))
+
+    def freeze(self, name: str) -> None:
+        """A node's process stands still: it does nothing, and what is sent to it waits."""
+        self.frozen.setdefault(name, asyncio.Event())
+
+    def thaw(self, name: str) -> None:
+        """The process goes on, with whatever time it is by then."""
+        event = self.frozen.pop(name, None)
+        if event is not None:
+            event.set()
+
+    async def moving(self, name: str) -> None:
+        """Wait while a node stands still."""
+        while name in self.frozen:
+            await self.frozen[name].wait()
+
     async def upgrade(self, *names: str, down_s: float = 3.0) -> None:
         """Replace the programs of these nodes, all at once."""
         for name in names:
@@ -472,6 +512,7 @@
             self.start(name)
 
     def crash(self, name: str) -> None:
+        self.thaw(name)
         self.running.pop(name).cancel()
         node = self.nodes.pop(name)
         for task in node.leadership.beside:
@@ -492,8 +533,11 @@
         return [n for n, node in self.nodes.items() if node is not lead]
 
     async def beat(self, name: str, body: bytes) -> tuple[int, bytes] | None:
+        await self.moving(name)
         node = self.nodes.get(name)
-        return await node.beat(body) if node is not None else None
+        answer = await node.beat(body) if node is not None else None
+        await self.moving(name)
+        return answer
 
     # -- machines --------------------------------------------------------------------------------
 
@@ -541,7 +585,7 @@
         ref = piece.rpartition("/")[0]
         job.starts += 1
         job.first_start = now if job.first_start is None else job.first_start
-        there = [(w, p) for w in self.workers.values() for p, t in w.tasks.items() if t.there() and self._holds(w, now)]
+        there = [(w, p) for w in self.workers.values() for p, t in w.tasks.items() if t.there() and self.holds(w, now)]
         for other, p in there:
             if p == piece and other is not worker:
                 self.broken.append(f"ran_twice: {piece} on {other.name} and {worker.name} at {now:.1f}")
@@ -564,7 +608,7 @@
             if len(self.jobs[need].done) < self.jobs[need].spec["pieces"]:
                 self.broken.append(f"too_early: {piece} before {need}")
 
-    def _holds(self, worker: Worker, now: float) -> bool:
+    def holds(self, worker: Worker, now: float) -> bool:
         """Whether a worker may still run what it has: one that hangs ends its tasks first once its lease is over."""
         return now <= worker.lease_from + self.params.workers.lease_s
 
@@ -713,6 +757,13 @@
             return None
         sent = cbor2.dumps(message)
         await asyncio.sleep(self.delay_s)
+        try:
+            async with asyncio.timeout(timeout):
+                await self.world.moving(self.name)
+        except TimeoutError:
+            # What was sent is read once the process goes on, and nobody waits for the answer.
+            self.world.go(self._read_later(sent))
+            return None
         node = self.world.nodes.get(self.name)
         if node is None:
             return None
@@ -720,6 +771,35 @@
         await asyncio.sleep(self.delay_s)
         return cbor2.loads(answer)
 
+    async def _read_later(self, sent: bytes) -> None:
+        await self.world.moving(self.name)
+        node = self.world.nodes.get(self.name)
+        if node is not None:
+            node.leadership.handle(cbor2.loads(sent))
+
+
+@types.coroutine
+def _step_by_step(work: Any, frozen: Callable[[], asyncio.Event | None]) -> Any:
+    """Run a coroutine, but for as long as `frozen` names an event; what happens meanwhile reaches it afterwards."""
+    error: BaseException | None = None
+    while True:
+        event = frozen()
+        while event is not None:
+            try:
+                yield from event.wait().__await__()
+            except asyncio.CancelledError as cancelled:
+                error = cancelled
+            event = frozen()
+        try:
+            waits_for = work.send(None) if error is None else work.throw(error)
+        except StopIteration as end:
+            return end.value
+        error = None
+        try:
+            yield waits_for
+        except BaseException as raised:
+            error = raised
+
 
 def play(
     scenario: Callable[[World], Coroutine[Any, Any, Any]], machines: int = 4, old: bool = False, **limits: Any
@@ -730,9 +810,11 @@
     """
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
+    worlds: list[World] = []
 
     async def main() -> World:
         world = World(**limits)
+        worlds.append(world)
         for i in range(machines):
             world.machine("east" if i % 2 == 0 else "west")
         for name in world.names:
@@ -745,6 +827,10 @@
     try:
         world = loop.run_until_complete(main())
     finally:
+        for event in [e for w in worlds for e in w.frozen.values()]:
+            event.set()
+        for w in worlds:
+            w.frozen.clear()
         for task in asyncio.all_tasks(loop):
             task.cancel()
         loop.run_until_complete(asyncio.sleep(0))
