A leader that hears late of a kept lease stores nothing that it decided before (ran_twice)

Each write of the leader is conditional on the keys of the followers that keep leases, as the leader knows them. A decision that rests on an older key was meant to fail on that condition. But the watch also brings newer keys, and from then on the conditions are the newer ones while the decision in memory is still the older one, so it is stored.

History (tests/test_ran_twice.py, test_a_leader_that_hears_late_of_a_kept_lease_...): a worker loses the leader and comes to a follower in the last second of its lease; the follower stores that it keeps the lease and answers. The state service refuses the leader for two seconds just then.

A key that is seen to name machines whose lease seemed to be over makes all decisions that are not stored void; a write under way is tried again only from what is stored. The same flaw on other paths: a read of a keeper's key after a conflict shows the last value only, so the watch is waited for (0.5 s), else any machine may have been kept until now; a leader whose watch is too old counts every lease as kept until its full read; a keeper's key that can't be read was taken to name no machine and now stands for any.

One assertion of test_compatibility stated the last of these flaws ('nonsense' names no machine); it now requires that any machine may be kept.

--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -50,6 +50,7 @@
         self.solid_images: set[int] = set()  # of jobs that can't use cheap machines
         self.token = 0
         self.kept = Kept(clock)
+        self.lease_ended: set[str] = set()  # machines whose starts were dropped since no node can have answered them
         self.wake: Callable[[], None] = lambda: None
         self.warm_hint: dict[str, list[tuple[str, float]]] = {}
         self.rate_hint: tuple[float, float] | None = None
@@ -64,6 +65,7 @@
         self.machines.clear()
         self.by_index.clear()
         self.deleted.clear()
+        self.lease_ended.clear()
         self.began = None
         self.token = token
         for job in self.table.open.values():
@@ -436,8 +438,16 @@
                 log.info("machine %s: lease is over, %d tasks gone", m.name, len(m.entries))
                 # A machine that hangs ends its tasks only when it goes on; cancelled ones must be gone before.
                 m.doubtful = m.doubtful or any(job.phase == WITHDRAWN for job, _ in m.entries.values())
+                self.lease_ended.add(m.name)
                 self.drop_all(m, "the lease is over")
 
+    def was_wrong(self, kept: frozenset[str] | None) -> bool:
+        """Whether a lease that seemed to be over is one of those that a follower turns out to keep; None: any."""
+        wrong = self.lease_ended if kept is None else self.lease_ended & kept
+        found = bool(wrong)
+        self.lease_ended -= set(wrong)
+        return found
+
     def _quiet(self, m: Machine, now: float) -> bool:
         """Whether a machine that should be heard is not. One that has not come to a new leader has a lease's time."""
         assert self.began is not None
--- a/hookwall/job_writer.py
+++ b/hookwall/job_writer.py
@@ -22,6 +22,8 @@
 WRITE_GAP_S = 0.05
 IDLE_S = 0.5
 AFTER_FAILURE_S = 0.2
+WATCH_WAIT_S = 0.5  # for the watch to tell of what a write found changed
+WATCH_STEP_S = 0.02
 BATCH_BYTES = 56 * 1024
 ENTRY_BYTES = 200  # of a transaction, beside each record
 ALONE_S = 5.0  # so long after a write that was too large, each job is written by itself
@@ -69,6 +71,7 @@
         self.new_formats: Callable[[], bool] = lambda: False
         self.refresh: Callable[[str], Awaitable[None]] = _no_refresh
         self.on_stored: Callable[[], None] = lambda: None
+        self.watched: Callable[[], int] = lambda: 0  # the epoch up to which the watch has told of all changes
 
     async def run(self) -> None:
         """Write for as long as the process runs."""
@@ -138,12 +141,12 @@
         token = self.lead.token
         batch = self._batch(jobs)
         stamp = 0
-        conflict: list[str] = []
+        conflict: Conflict | None = None
         try:
             if batch:
                 stamp = await self._commit(token, batch)
         except Conflict as error:
-            conflict = error.failed
+            conflict = error
         except TooLarge as error:
             log.info("a write of %d jobs is too large: %s", len(batch), error)
             self.alone_until = self.clock() + ALONE_S
@@ -154,10 +157,11 @@
             self._answered(write, stamp, same)
         if not same:
             return
-        await self._follow_conflict(conflict)
-        if stamp:
+        if conflict is not None:
+            await self._follow_conflict(conflict)
+        elif stamp:
             self.on_stored()
-        elif not conflict:
+        else:
             await asyncio.sleep(AFTER_FAILURE_S)
 
     async def _commit(self, token: int, batch: list[PendingWrite]) -> int:
@@ -184,6 +188,7 @@
         """Take note of what became of one job's write."""
         job = write.job
         job.writing = False
+        revert, job.revert_after_write = job.revert_after_write, False
         if not same:
             return
         if stamp:
@@ -195,6 +200,8 @@
         else:
             job.dirty = True
             job.fresh, job.dirty_at = job.fresh or write.fresh, write.dirty_at
+            if revert:
+                self.table.revert_job(job)
         if job.parked is not None:
             value, at = job.parked
             job.parked = None
@@ -202,15 +209,15 @@
 
     # -- what had changed meanwhile ----------------------------------------------------------------
 
-    async def _follow_conflict(self, conflict: list[str]) -> None:
+    async def _follow_conflict(self, conflict: Conflict) -> None:
         """Read again what a write found changed."""
-        if keys.LEADER in conflict:
+        if keys.LEADER in conflict.failed:
             self.lead.step_down("a write was refused: the leader key has changed")
             return
-        keepers = [key for key in conflict if key in self.keep_keys]
+        keepers = [key for key in conflict.failed if key in self.keep_keys]
         if keepers:
-            await self._keepers_changed(keepers)
-        for key in conflict:
+            await self._keepers_changed(keepers, conflict.epoch)
+        for key in conflict.failed:
             if not key.startswith(keys.JOBS):
                 continue
             try:
@@ -218,9 +225,27 @@
             except (Refused, Unknown) as error:
                 log.debug("refresh of %s: %s", key, error)
 
-    async def _keepers_changed(self, changed: list[str]) -> None:
-        """A follower keeps leases that this leader did not know of: what it believed to be over may not be."""
+    async def _keepers_changed(self, changed: list[str], epoch: int) -> None:
+        """A follower keeps leases that this leader did not know of: what it believed to be over may not be.
+
+        The watch tells of each value that a key has had, so it is waited for. A read shows the last one only, and
+        machines that another value named meanwhile were kept as well.
+        """
         log.info("keepers have changed; decisions that are not stored are void")
+        if not await self._watched(epoch):
+            await self._read_keepers(changed)
+            self.kept.missed()
+        self.table.revert()
+
+    async def _watched(self, epoch: int) -> bool:
+        """Wait for the watch to tell of all changes up to an epoch; False if it takes too long."""
+        until = self.clock() + WATCH_WAIT_S
+        while self.watched() < epoch and self.clock() < until:
+            await asyncio.sleep(WATCH_STEP_S)
+        return self.watched() >= epoch > 0
+
+    async def _read_keepers(self, changed: list[str]) -> None:
+        """Read keepers' keys of which the watch has not told."""
         for key in changed:
             try:
                 got = await self.store.get(key)
@@ -230,9 +255,6 @@
                 self.kept.take(key, *got)
             elif key in self.kept.keys:
                 self.kept.take(key, None, 0)
-            else:
-                self.kept.missed()
-        self.table.revert()
 
     # -- parts that no record names -----------------------------------------------------------------
 
--- a/hookwall/jobs.py
+++ b/hookwall/jobs.py
@@ -70,6 +70,7 @@
         "rank",
         "raw",
         "ref",
+        "revert_after_write",
         "spec",
         "stamp",
         "stored_done",
@@ -103,6 +104,7 @@
         self.dirty_at = -1.0  # since when, as the writer saw it
         self.fresh = False  # whether starts wait to be stored: they are launched only then
         self.writing = False
+        self.revert_after_write = False  # if the write under way turns out not to have happened
         self.parked: tuple[object, int] | None = None  # a change seen while a write is under way
         self.cursor = 0
         self.errors: dict[str, int] = {}
@@ -328,13 +330,24 @@
         for job in self.jobs.values():
             if job.spec is not None or not job.final():
                 job.void, job.parked, job.writing, job.dirty, job.fresh = True, None, False, False, False
+                job.revert_after_write = False
 
     def revert(self) -> None:
-        """Go back to what is stored, for all jobs with decisions that are not."""
+        """Go back to what is stored, for all jobs with decisions that are not.
+
+        A write under way may have happened or not; what it decided is void if it has not.
+        """
         for job in list(self.open.values()):
-            if job.dirty and not job.writing and job.raw is not None:
-                job.void = True
-                self.apply(keys.JOBS + job.ref, job.raw, job.stamp)
+            if job.writing:
+                job.revert_after_write = True
+            elif job.dirty:
+                self.revert_job(job)
+
+    def revert_job(self, job: Job) -> None:
+        """Go back to what is stored of one job."""
+        if job.raw is not None:
+            job.void = True
+            self.apply(keys.JOBS + job.ref, job.raw, job.stamp)
 
     # -- what follows from records ------------------------------------------------------------------
 
--- a/hookwall/kept.py
+++ b/hookwall/kept.py
@@ -9,34 +9,51 @@
 
 
 class Kept:
-    """The leader's view of what followers keep."""
+    """The leader's view of what followers keep.
+
+    `on_named` is called with machines that a key is seen to name and that no key named before: what was decided
+    while their leases seemed to be over rests on a belief that may have been wrong.
+    """
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
-        self.keys: dict[str, tuple[int, frozenset[str]]] = {}
+        self.keys: dict[str, tuple[int, frozenset[str] | None]] = {}  # stamp and names; None: any machine
         self.released: dict[str, float] = {}  # machine -> when its keeping was seen to be over
         self.all_released = -1e9
+        self.on_named: Callable[[frozenset[str] | None], None] = lambda machines: None
 
     def take(self, key: str, value: object, stamp: int) -> None:
         """A keeper's key as read or watched; stamp 0: it is gone."""
         old = self.keys.get(key)
         if stamp and old is not None and stamp <= old[0]:
             return
-        now = self.clock()
+        before = old[1] if old is not None else frozenset()
         names = _machines(value) if stamp else frozenset()
-        for name in (old[1] if old is not None else frozenset()) - names:
-            self.released[name] = now
+        self._release(before, names)
         if stamp:
             self.keys[key] = (stamp, names)
         else:
             self.keys.pop(key, None)
+        if names is None:
+            self.on_named(None)
+        elif named := names - (before or frozenset()):
+            self.on_named(named)
+
+    def _release(self, before: frozenset[str] | None, names: frozenset[str] | None) -> None:
+        """Machines that a key named and does not name any more have been kept until now."""
+        if before is None:
+            self.missed()
+        elif names is not None:
+            now = self.clock()
+            self.released.update((name, now) for name in before - names)
 
     def missed(self) -> None:
-        """A key came and went unseen: anyone may have been kept until now."""
+        """A key may have come and gone unseen: anyone may have been kept until now."""
         self.all_released = self.clock()
 
     def kept(self, machine: str) -> bool:
-        return any(machine in names for _, names in self.keys.values())
+        """Whether some key names the machine now."""
+        return any(names is None or machine in names for _, names in self.keys.values())
 
     def heard(self, machine: str) -> float:
         """Until when a keeper may have answered this machine, as far as it is over."""
@@ -47,14 +64,16 @@
         return [(k, self.keys[k][0] if k in self.keys else 0) for k in keys]
 
 
-def _machines(value: object) -> frozenset[str]:
-    """The machines that a keeper's key names."""
-    if not isinstance(value, dict):
-        return frozenset()
-    names = value.get("machines")
-    if isinstance(value.get("packed"), str):
+def _machines(value: object) -> frozenset[str] | None:
+    """The machines that a keeper's key names; None, which stands for any, where that can't be read."""
+    names = value.get("machines") if isinstance(value, dict) else None
+    if isinstance(value, dict) and isinstance(value.get("packed"), str):
         try:
             names = records.decompress(value["packed"], list[str])
         except records.MalformedRecord as error:
             log.error("a keeper's key is malformed: %s", error)
-    return frozenset(str(n) for n in names) if isinstance(names, list) else frozenset()
+            return None
+    if not isinstance(names, list):
+        log.error("a keeper's key names no machines")
+        return None
+    return frozenset(str(n) for n in names)
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -74,6 +74,7 @@
         )
         self.writer.refresh, self.writer.on_stored = self._refresh, self._stored
         self.writer.new_formats = self.keeper.new_formats = self.api.new_formats = self.formats.ready
+        self.writer.watched = lambda: self.epoch
         self.scheduler.record_bytes = self.writer.record_bytes
         self.api.current = self.cancellations.records_current
         self.leadership.about, self.leadership.on_about = self._about, self._on_about
@@ -86,6 +87,7 @@
         self.leadership.hint = self.fleet.hint
         self.leadership.on_hint = self.fleet.take_hint
         self.table.on_taken = self._taken
+        self.fleet.kept.on_named = self._leases_kept
         self.loaded = False
         self.no_catalog = False  # whether nobody had ever stored the machine types when this node took over
         self.wake = asyncio.Event()
@@ -150,6 +152,10 @@
         sent = self.clock()
         found, epoch = await self.store.scan(keys.ROOT)
         self._keepers_missing(found)
+        if self.leadership.role is Role.LEADER:
+            # Changes were missed, so a keeper's key may have come and gone.
+            self.fleet.kept.missed()
+            self.table.revert()
         leader = False
         for key, value, stamp in found:
             leader = leader or key == keys.LEADER
@@ -216,6 +222,16 @@
             self.fleet.retake(job, before)
         self.wake.set()
 
+    def _leases_kept(self, machines: frozenset[str] | None) -> None:
+        """Followers keep the leases of these machines.
+
+        From here on the leader's writes have the newer keys as conditions, so what it decided on the older ones
+        would be stored: a machine whose lease seemed to be over runs its tasks, and they were started elsewhere.
+        """
+        if self.leadership.role is Role.LEADER and self.fleet.was_wrong(machines):
+            log.info("a lease that seemed to be over is kept; decisions that are not stored are void")
+            self.table.revert()
+
     def _position(self) -> int:
         """Up to which change this node has read the records."""
         return max(self.epoch, self.scanned)
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -48,9 +48,10 @@
 
 @dataclass(slots=True)
 class Conflict(Exception):
-    """A conditional write did not happen because these keys had changed."""
+    """A conditional write did not happen because these keys had changed, at `epoch` or before."""
 
     failed: list[str]
+    epoch: int = 0
 
 
 class Store:
@@ -269,7 +270,9 @@
             body["apply"] = [{"set": k, "value": v, **extra} for k, v in put] + [{"delete": k} for k in delete]
         status, got = await self._send("POST", "/commit", body, timeout, cost=float(len(put) + len(delete)))
         if status == 409:
-            raise Conflict([k for k in got.get("failed", []) if isinstance(k, str)])
+            epoch = got.get("epoch")
+            failed = [k for k in got.get("failed", []) if isinstance(k, str)]
+            raise Conflict(failed, epoch if isinstance(epoch, int) else 0)
         if status == 400 and got.get("error") != NO_SUCH_LEASE:
             self.lower("400")
             raise TooLarge(str(got.get("error", "400")))
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -110,4 +110,4 @@
 def test_a_keepers_key_names_machines_in_either_form():
     names = [f"vm-{n:06d}" for n in range(300)]
     assert _machines({"token": 5, "packed": records.compress(names)}) == frozenset(names)
-    assert _machines({"token": 5, "packed": "nonsense"}) == frozenset()
+    assert _machines({"token": 5, "packed": "nonsense"}) is None, "any machine may be kept"
--- a/tests/test_job_writer.py
+++ b/tests/test_job_writer.py
@@ -9,9 +9,11 @@
 
 from hookwall import keys
 from hookwall.job_writer import JobWriter
-from hookwall.jobs import JobTable
+from hookwall.jobs import Active, JobTable
 from hookwall.kept import Kept
+from hookwall.leadership import Role
 from hookwall.records import JobRecord, encode
+from hookwall.store import Conflict
 from hookwall.wire import JobSpec
 
 KEY = keys.JOBS + "run-000001"
@@ -59,3 +61,98 @@
     before = parts(state)
     asyncio.run(writer._collect_parts())
     assert parts(state) == before
+
+
+# -- decisions that rest on what followers keep ------------------------------------------------------
+
+KEEPER = keys.KEEP + "n1"
+
+
+@pytest.fixture
+def leads(state, clock):
+    """A leader's writer whose job runs on vm-1, as stored, and has just been moved to vm-2."""
+    state.spare = lambda: True
+    state.epoch = 9
+    spec = msgspec.convert(description(2), JobSpec)
+    record = JobRecord(tasks=1, next_attempt=2, on=[("vm-1", 1, 1, "0")], spec=spec, at=1.0, done="")
+    value = encode(spec.ref, record, None).value
+    state.keys = {keys.LEADER: ({"node": "n0"}, 5), keys.JOBS + spec.ref: (value, 9)}
+    table = JobTable(clock)
+    table.apply(keys.JOBS + spec.ref, value, 9)
+    lead = SimpleNamespace(token=5, role=Role.LEADER, valid=lambda: True, step_down=lambda why: None)
+    writer = JobWriter(table, state, lead, Kept(clock), [KEEPER], clock)
+    move(table.jobs[spec.ref])
+    return writer
+
+
+def move(job) -> None:
+    job.remove(0)
+    job.active[0] = Active(0, "vm-2", 1, job.next_attempt, 0.0)
+    job.next_attempt += 1
+    job.dirty = job.fresh = True
+
+
+def machines(writer) -> list[str]:
+    return [a.machine for a in writer.table.jobs["run-000002"].active.values()]
+
+
+def write(writer) -> None:
+    asyncio.run(writer._write(list(writer.table.open.values())))
+
+
+@pytest.mark.parametrize("mode", ["lost", "down"])
+def test_a_decision_that_became_void_while_it_was_written_is_not_written_again(leads, state, mode):
+    """Its write was lost. Meanwhile a keeper's key was seen, so the next one would have been stored."""
+    commit = state.commit
+
+    async def meanwhile(*args, **options):
+        leads.table.revert()
+        return await commit(*args, **options)
+
+    state.commit, state.mode = meanwhile, mode
+    write(leads)
+    assert machines(leads) == ["vm-1"] and not leads.table.jobs["run-000002"].dirty
+
+
+def test_a_decision_that_was_stored_stays_although_it_became_void_meanwhile(leads, state):
+    commit = state.commit
+
+    async def meanwhile(*args, **options):
+        leads.table.revert()
+        return await commit(*args, **options)
+
+    state.commit = meanwhile
+    write(leads)
+    assert machines(leads) == ["vm-2"]
+    move(leads.table.jobs["run-000002"])
+    state.commit, state.mode = commit, "lost"
+    write(leads)
+    assert machines(leads) == ["vm-2"] and leads.table.jobs["run-000002"].dirty, "void only what was under way"
+
+
+def test_a_read_of_a_keeper_s_key_does_not_show_who_was_kept_before(leads, state, clock):
+    """The key named vm-1, was gone and now names vm-9: only the watch tells of the first."""
+    state.keys[KEEPER] = ({"machines": ["vm-9"]}, 12)
+    clock.tick(5.0)
+    leads._watched = _not
+    write(leads)
+    assert machines(leads) == ["vm-1"]
+    assert leads.kept.kept("vm-9") and leads.kept.heard("vm-1") == clock()
+
+
+def test_where_the_watch_has_told_of_all_leases_count_as_before(leads, state, clock):
+    state.keys[KEEPER] = ({"machines": ["vm-9"]}, 9)
+    leads.kept.take(KEEPER, {"machines": ["vm-9"]}, 8)
+    leads.watched = lambda: 9
+    state.commit = _conflict
+    write(leads)
+    assert machines(leads) == ["vm-1"] and leads.kept.heard("vm-1") < clock()
+    assert "get " + KEEPER not in state.requests
+
+
+async def _not(epoch: int) -> bool:
+    return False
+
+
+async def _conflict(*args, **options):
+    raise Conflict([KEEPER], 9)
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -169,3 +169,23 @@
     follower.wanted.add("vm-2")
     asyncio.run(follower._write())
     assert follower.valid("vm-1") and not follower.valid("vm-2")
+
+
+def test_machines_that_a_key_names_anew_are_told(clock):
+    kept, named = Kept(clock), []
+    kept.on_named = named.append
+    kept.take("k", {"machines": ["vm-1"]}, 5)
+    kept.take("k", {"machines": ["vm-1", "vm-2"]}, 6)
+    kept.take("k", {"machines": ["vm-1"]}, 4)
+    assert named == [frozenset({"vm-1"}), frozenset({"vm-2"})]
+
+
+@pytest.mark.parametrize("value", [{"packed": "no such text"}, {"machines": "vm-1"}, {}, None])
+def test_a_key_that_can_t_be_read_may_keep_any_machine(clock, value):
+    """It was read as naming none, so leases that a follower kept counted as over."""
+    kept = Kept(clock)
+    kept.take("k", value, 5)
+    assert kept.kept("vm-1")
+    clock.tick(1.0)
+    kept.take("k", None, 0)
+    assert not kept.kept("vm-1") and kept.heard("vm-1") == clock()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from hookwall import keys
 from hookwall.leadership import Mode, Role
 from hookwall.node import Node
 from hookwall.promise import PROMISE_S
@@ -60,3 +61,16 @@
     assert node.leadership.promise.renew("n1", 7)
     status, body = asyncio.run(node.beat(report(1)))
     assert status == 421 and msgspec.json.decode(body) == {"overseer": "n1"}
+
+
+def test_a_leader_that_missed_changes_counts_every_lease_as_kept_until_now(node, clock):
+    """The service keeps the last 10,000 changes: a keeper's key may have come and gone among those before."""
+    leads(node, clock)
+    clock.tick(100.0)
+
+    async def scan(prefix):
+        return [(keys.LEADER, {"node": "n0"}, 5)], 20_000
+
+    node.store.scan = scan
+    asyncio.run(node._read_all())
+    assert node.fleet.kept.heard("vm-1") == clock()
--- /dev/null
+++ b/tests/test_ran_twice.py
@@ -0,0 +1,62 @@
+"""A task must not start while it is on another machine: histories that broke this, made as short as they go."""
+
+import asyncio
+
+import pytest
+from histories import Invariants
+from world import Worker, World, play
+
+from hookwall import keys
+
+
+def machine_of(world: World, ref: str) -> Worker:
+    """The machine that has a task of the job."""
+    return next(w for w in world.workers.values() if any(p.startswith(ref) for p in w.tasks))
+
+
+async def comes_to_keeper(world: World, worker: Worker, keeper: str, before_end_s: float) -> float:
+    """A worker says nothing until shortly before its lease ends, and then comes to a node that reaches no other.
+
+    Returns when its lease would have ended.
+    """
+    world.apart |= {frozenset((keeper, other)) for other in world.names if other != keeper}
+    worker.reached = lambda node: node == keeper
+    await asyncio.sleep(0.05)
+    worker.hung = True
+    worker.node = world.names.index(keeper)
+    end = worker.lease_from + world.params.workers.lease_s
+    await world.until(lambda: world.now() > end - before_end_s, 20.0, "the clock stands")
+    worker.hung = False
+    return end
+
+
+@pytest.mark.parametrize("refused_s", [1.6, 1.8, 2.0, 2.2])
+@pytest.mark.parametrize("before_end_s", [0.8, 0.6, 0.4])
+def test_a_leader_that_hears_late_of_a_kept_lease_stores_nothing_that_it_decided_before(refused_s, before_end_s):
+    """The state service refuses the leader for two seconds, in which a follower begins to keep a lease.
+
+    The leader took that lease to be over and moved the task. Its write could not be sent, and then its watch told
+    it of the keeper's key before it tried again: the conditions of the write were those of the newer key, so the
+    decision, which rested on the older one, was stored, and the task ran twice.
+    """
+
+    async def scenario(world: World) -> None:
+        Invariants(world).watch()
+        lead = world.leader().settings.node_name
+        keeper = next(n for n in world.names if n != lead)
+        ref = world.job(1, run_s=300.0, cards=4.0)
+        await world.accepted(ref)
+        await world.runs(ref)
+        await asyncio.sleep(5.0)
+        worker = machine_of(world, ref)
+        world.loop.call_later(
+            worker.lease_from + 12.0 - before_end_s - 0.5 - world.now(), world.service.refused.add, lead
+        )
+        end = await comes_to_keeper(world, worker, keeper, before_end_s)
+        await world.until(lambda: world.now() > end - before_end_s - 0.5 + refused_s, 20.0, "the clock stands")
+        world.service.refused.discard(lead)
+        await world.until(lambda: keys.KEEP + keeper in world.service.keys, 5.0, "the lease is not kept")
+        await asyncio.sleep(20.0)
+        assert any(p.startswith(ref) for p in worker.tasks), "the kept task is gone"
+
+    play(scenario)
