The leader key: an absence counts from its position, as a value does from its stamp

An answer 404 to a read of the leader key was believed whatever was known. Answered late, it turned a newer key into 'no key', and a late value undid a deletion. A node then counted the key as gone and campaigned; its vote and the pause before it leads alone counted from that.

A read returns the position that the service tells (store.KeyState); what is older than what is known changes nothing. Tests: a late absence, a late value, and a probe that is answered late (all failed before).

--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -86,6 +86,7 @@
         self.key_stamp = 0
         self.key_mode = Mode.PROMISE
         self.key_known = False
+        self.key_position = 0  # the change up to which this node knows the leader key
         self.key_gone_at = clock()
         self.leader_heard = clock()  # when the node that the key names last asked for this one's support
         self.with_majority_since: float | None = None
@@ -179,10 +180,17 @@
         self.next_try = self.clock() + 1.0
         self._become(Role.FOLLOWER, why)
 
-    def saw_key(self, value: object, stamp: int) -> None:
-        """The leader key as the state service has it (from a read or the watch); stamp 0: none."""
-        if stamp and stamp < self.key_stamp:
-            return
+    def saw_key(self, value: object, stamp: int, position: int | None = None) -> None:
+        """The leader key as the state service had it at a position (from a read or the watch); stamp 0: none.
+
+        The answer to a read may come after that of a later one. So an absence counts from its position, as a value
+        does from its stamp.
+        """
+        position = stamp or position
+        if position is not None:
+            if position < self.key_position:
+                return
+            self.key_position = position
         v = value if isinstance(value, dict) else {}
         node = str(v.get("node", ""))
         if not stamp and (self.key_stamp or not self.key_known):
@@ -317,13 +325,11 @@
                     continue
             self.probe_now.clear()
             try:
-                got = await self.store.get(keys.LEADER)
+                got = await self.store.read(keys.LEADER)
             except (Refused, Unknown):
                 continue
-            if got is None and self.role is Role.FOLLOWER:
-                self.saw_key({}, 0)
-            elif got is not None:
-                self.saw_key(*got)
+            if got.stamp or self.role is Role.FOLLOWER:
+                self.saw_key(got.value, got.stamp, got.position)
 
     # -- becoming and staying leader ---------------------------------------------------------
 
@@ -381,9 +387,9 @@
         self._become(Role.CANDIDATE, "no valid leader is known")
         won = False
         try:
-            got = await self.store.get(keys.LEADER)
-            value, stamp = got if got is not None else ({}, 0)
-            self.saw_key(value, stamp)
+            got = await self.store.read(keys.LEADER)
+            stamp = got.stamp
+            self.saw_key(got.value, stamp, got.position)
             if not self._may_campaign() or not self.promise.vote(self.me):
                 return
             votes, heard = await self._votes()
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -118,8 +118,7 @@
         if key.startswith(keys.JOBS):
             self.table.apply(key, value, stamp)
         elif key == keys.LEADER:
-            if stamp >= self.leadership.key_stamp:
-                self.leadership.saw_key(value, stamp)
+            self.leadership.saw_key(value, stamp)
         elif key.startswith(keys.KEEP):
             self.fleet.kept.take(key, value, stamp)
         elif key.startswith(keys.PARTS):
@@ -134,8 +133,8 @@
 
     def _take_deletion(self, key: str, stamp: int) -> None:
         """A key is gone."""
-        if key == keys.LEADER and stamp > self.leadership.key_stamp:
-            self.leadership.saw_key({}, 0)
+        if key == keys.LEADER:
+            self.leadership.saw_key({}, 0, stamp)
         elif key.startswith(keys.PARTS):
             self.table.parts.remove(key)
         elif key.startswith(keys.KEEP):
@@ -160,8 +159,8 @@
         for key, value, stamp in found:
             leader = leader or key == keys.LEADER
             self._take_key(key, value, stamp)
-        if not leader and self.leadership.key_stamp <= epoch:
-            self.leadership.saw_key({}, 0)
+        if not leader:
+            self.leadership.saw_key({}, 0, epoch)
         self.epoch = epoch
         self.loaded = self.cancellations.complete = True
         self.cancellations.read(sent)
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -54,6 +54,15 @@
     epoch: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class KeyState:
+    """A key as read: value and stamp, or stamp 0 where it was absent at the change `position`."""
+
+    value: object
+    stamp: int
+    position: int
+
+
 class Store:
     """Requests to the state service, with what is known about its health."""
 
@@ -224,14 +233,18 @@
         self._good()
         return status, value
 
-    async def get(self, key: str) -> tuple[object, int] | None:
-        """Value and stamp of a key, or None; always current."""
+    async def read(self, key: str) -> KeyState:
+        """A key as it was at some moment between the request and its answer, which may come late."""
         status, body = await self._send("GET", f"/store/{key}")
-        if status == 404:
-            return None
-        if status != 200 or not isinstance(body.get("stamp"), int):
+        position = body.get("epoch") if status == 404 else body.get("stamp")
+        if status not in (200, 404) or not isinstance(position, int):
             raise Unknown(f"status {status}")
-        return body.get("value"), body["stamp"]
+        return KeyState(None, 0, position) if status == 404 else KeyState(body.get("value"), position, position)
+
+    async def get(self, key: str) -> tuple[object, int] | None:
+        """Value and stamp of a key, or None if it is absent."""
+        got = await self.read(key)
+        return (got.value, got.stamp) if got.stamp else None
 
     async def scan(self, prefix: str) -> tuple[list[tuple[str, object, int]], int]:
         """All keys below a prefix. Watching from the returned epoch misses nothing after it."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,7 +11,7 @@
 from hookwall.records import value_limit
 from hookwall.scheduler import Scheduler
 from hookwall.settings import Cloud, MachineLimits, Params, State, Team, Workers
-from hookwall.store import Conflict, Refused, Unknown
+from hookwall.store import Conflict, KeyState, Refused, Unknown
 
 
 class Clock:
@@ -60,6 +60,10 @@
         self._enter(f"get {key}")
         return self.keys.get(key)
 
+    async def read(self, key):
+        got = await self.get(key)
+        return KeyState(None, 0, self.epoch) if got is None else KeyState(*got, got[1])
+
     async def scan(self, prefix):
         self._enter("scan")
         return [(k, v, s) for k, (v, s) in sorted(self.keys.items()) if k.startswith(prefix)], self.epoch
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -7,6 +7,7 @@
 from hookwall import keys
 from hookwall.leadership import ALONE_S, LONELY_S, SHORT_HOLD_S, Leadership, Mode, Role
 from hookwall.promise import PROMISE_S, Promise
+from hookwall.store import KeyState
 
 
 @pytest.fixture
@@ -244,3 +245,39 @@
 @pytest.mark.parametrize("message", [{}, {"t": "ping"}, {"t": "ping", "n": 3}, {"t": "release", "n": "n1", "tok": "x"}])
 def test_nonsense_from_a_peer_is_survived(state, clock, message):
     assert "ok" in make(state, clock, [yes, yes]).handle(message)
+
+
+# -- what a node may conclude from the leader key ----------------------------------------------------
+
+
+def test_a_late_answer_that_the_key_is_absent_does_not_undo_a_newer_key(state, clock):
+    """A read from before the key was written is answered after the watch has told of the key."""
+    lead = make(state, clock, [yes, yes])
+    lead.saw_key({"node": "n1"}, 12)
+    lead.saw_key({}, 0, 11)
+    assert lead.key_stamp == 12 and not lead._unfenced()
+    lead.saw_key({}, 0, 13)
+    assert lead.key_stamp == 0 and lead._unfenced()
+    lead.saw_key({"node": "n0"}, 12)
+    assert lead.key_stamp == 0, "nor does a late answer undo that the key is gone"
+
+
+def test_a_probe_that_is_answered_late_does_not_undo_a_newer_key(state, clock):
+    lead = make(state, clock, [yes, yes])
+    state.epoch = 11
+
+    async def read(key):
+        lead.saw_key({"node": "n1"}, 12)
+        lead.probe_now.clear()
+        state.last_ok = clock()
+        return KeyState(None, 0, 11)
+
+    async def probe():
+        state.read = read
+        lead.probe_now.set()
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await lead.probe_loop()
+
+    asyncio.run(probe())
+    assert lead.key_stamp == 12
