A leader is valid only with its own promise, and leases count from validity without interruption

A leader's majority counted the leader itself without asking. A vote binds for 1.5 s; if the key took longer to write, the candidate's own promise could have gone to the former leader meanwhile, and for up to a second (until the next ping) both were valid: two nodes renewed leases. A leader whose promises had lapsed and came back counted leases from its first beginning, although another node may have answered workers in between.

The node's own promise has to be held, for itself, like any other of the majority; when validity is extended after it had ended, leases count anew from then.

--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -76,6 +76,10 @@
         if self.began is None:
             self.began = now
 
+    def begin_again(self) -> None:
+        """This leader was not valid for a while, so another node may have answered workers meanwhile."""
+        self.began = None
+
     def set_catalog(self, catalog: Catalog) -> None:
         self.catalog = catalog
         for t in catalog.types:
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -107,6 +107,7 @@
         self.about: Callable[[], dict] = dict
         self.on_about: Callable[[str, dict], None] = lambda node, message: None
         self.peer_want: dict[str, tuple[float, object]] = {}
+        self.on_lapse: Callable[[], None] = lambda: None  # its validity has ended for a while
         self.hint: Callable[[], object] = lambda: None
         self.on_hint: Callable[[object], None] = lambda _: None
         self.rank = sorted([me, *[p.name for p in peers]]).index(me)
@@ -128,7 +129,9 @@
 
     def promised_until(self) -> float:
         """Until when a majority, this node included, is bound by its promises."""
-        return self.majority_at(self.acks) + PROMISE_S * (1 - DRIFT)
+        if self.promise.holder != self.me:
+            return -1e9
+        return min(self.promise.until, self.majority_at(self.acks) + PROMISE_S * (1 - DRIFT))
 
     def majority_at(self, sent: dict[str, float]) -> float:
         """The latest time since which a majority was asked and has answered; this node needs no asking."""
@@ -203,6 +206,11 @@
         if self.role.leads() and stamp != self.token:
             self.step_down("the leader key has changed")
 
+    def _note_lapse(self) -> None:
+        """Before validity is extended: if it has ended, another node may have been valid meanwhile."""
+        if self.role is Role.LEADER and not self.valid():
+            self.on_lapse()
+
     # -- messages ----------------------------------------------------------------------------
 
     def handle(self, m: dict) -> dict:
@@ -293,6 +301,7 @@
             if answer.get("ok"):
                 # What the promise carries is applied before it counts.
                 self.on_reply(peer.name, sent, answer)
+                self._note_lapse()
                 self.acks[peer.name] = max(sent, self.acks.get(peer.name, -1e9))
             elif isinstance(answer.get("top"), int) and answer["top"] > token:
                 self.step_down(f"{peer.name} knows a newer token")
@@ -306,6 +315,8 @@
             turn += 1
             for peer in self.peers:
                 self._later(self._ping(peer, hint))
+            if leading:
+                self._note_lapse()
             if leading and not self.promise.renew(self.me, self.token) and self.mode is Mode.PROMISE:
                 self.step_down("own promise is with another node")
             await asyncio.sleep(PING_S)
@@ -479,6 +490,7 @@
         self.extended_at = now
         try:
             if await self.store.extend(self.hold):
+                self._note_lapse()
                 self.hold_until = now + ttl * (1 - DRIFT)
             else:
                 self.step_down("the hold has ended")
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -82,6 +82,7 @@
         self.leadership.on_lent = self.store.borrow
         self.leadership.say, self.leadership.reply = self.cancellations.say, self.cancellations.reply
         self.leadership.on_reply, self.leadership.on_told = self.cancellations.on_reply, self.cancellations.on_told
+        self.leadership.on_lapse = self.fleet.begin_again
         self.table.on_withdrawn = self._withdrawn
         self.api.confirmed = self.cancellations.confirmed
         self.leadership.hint = self.fleet.hint
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -54,6 +54,7 @@
 def leads(node, clock):
     lead = node.lead
     lead.role, lead.mode, lead.hold_until, lead.acks = Role.LEADER, Mode.PROMISE, clock() + 60, {"n1": clock()}
+    lead.promise.holder, lead.promise.until = lead.me, clock() + 60
 
 
 def test_no_lease_is_renewed_on_knowledge_that_is_too_old(node, clock, params):
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -281,3 +281,37 @@
 
     asyncio.run(probe())
     assert lead.key_stamp == 12
+
+
+# -- when a leader is valid --------------------------------------------------------------------------
+
+
+def test_a_leader_whose_own_promise_is_with_another_node_is_not_valid(state, clock):
+    """Its vote for itself had ended while the key was written; for up to a second two nodes were valid."""
+    lead = make(state, clock, [yes, silent])
+    asyncio.run(lead._campaign())
+    assert lead.valid()
+    lead.promise.holder = "n1"
+    assert not lead.valid()
+
+
+def test_a_leader_whose_own_promise_has_ended_is_not_valid(state, clock):
+    lead = make(state, clock, [yes, silent])
+    asyncio.run(lead._campaign())
+    lead.promise.until = clock()
+    assert not lead.valid()
+
+
+def test_a_leader_that_was_not_valid_for_a_while_says_so(state, clock):
+    """Another node may have answered workers meanwhile, so their leases count from when it is valid again."""
+    lead, lapses = make(state, clock, [yes, silent]), []
+    asyncio.run(lead._campaign())
+    lead.on_lapse = lambda: lapses.append(clock())
+    clock.tick(PROMISE_S * 0.9)
+    lead.promise.renew("n0", lead.token)
+    asyncio.run(lead._ping(lead.peers[0]))
+    assert lead.valid() and lapses == []
+    clock.tick(PROMISE_S)
+    lead.promise.renew("n0", lead.token)
+    asyncio.run(lead._ping(lead.peers[0]))
+    assert lead.valid() and lapses == [clock()]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -31,6 +31,7 @@
     lead = node.leadership
     lead.role, lead.mode, lead.token, lead.hold_until = Role.LEADER, Mode.PROMISE, token, clock() + 60.0
     lead.acks = {"n1": clock()}
+    lead.promise.holder, lead.promise.until = "n0", clock() + PROMISE_S
     node.fleet.reset(token)
     node.cancellations.read(clock())  # it has read the records
 
@@ -74,3 +75,15 @@
     node.store.scan = scan
     asyncio.run(node._read_all())
     assert node.fleet.kept.heard("vm-1") == clock()
+
+
+def test_leases_count_from_when_a_leader_is_valid_without_interruption(node, clock):
+    leads(node, clock)
+    assert asyncio.run(node.beat(report(1)))[0] == 200
+    began = node.fleet.began
+    clock.tick(PROMISE_S + 1.0)
+    node.leadership._note_lapse()
+    node.leadership.acks["n1"] = clock()
+    node.leadership.promise.until = clock() + PROMISE_S
+    assert asyncio.run(node.beat(report(2, token=5)))[0] == 200
+    assert node.fleet.began == clock() > began
