Who voted to replace a leader key never supports its leader again; a late key proves nothing

A vote binds for 1.5 s, a write of the key may be carried out after any time. Once the vote had ended, the former leader got its promises back; then the candidate's late write replaced its key. 'A key that names the candidate is that of an earlier process' was untrue for that key: a voter that had restarted gave its vote, and a candidate cut off from its peers led alone at once, while the former leader was valid by its promises.

History (tests/test_ran_twice.py, test_a_leader_key_that_is_written_late_...): a leader stands still, then lacks the state service; the candidate's key is written 3 s late; then both lose their peers.

A voter keeps the stamp of the key that its candidate may replace and refuses its leader from then on, unless the candidate says that it wrote nothing. A candidate whose write has no answer ends the write's hold, so that the write is not carried out any more, never says that it wrote nothing, and does not take a key from such a write as proof. Older programs leave out the new fields of the messages and are treated as before.

--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -36,6 +36,7 @@
 SHORT_HOLD_S = 8.0
 LONELY_S = 3.0  # so long without a majority, a leader gives way to those who may have one
 FIT_S = 0.25  # so recently the state service must have answered a node that is to take over
+DROP_AGAIN_S = 0.5
 ALONE_S = 2.0  # so long without a leader key, a node leads without a majority
 
 
@@ -87,6 +88,8 @@
         self.key_mode = Mode.PROMISE
         self.key_known = False
         self.key_position = 0  # the change up to which this node knows the leader key
+        self.unresolved = 0  # stamp of the key that a write of this process, without an answer, may yet replace
+        self.unresolved_holds: set[int] = set()  # of such writes: once they have ended, those can't happen any more
         self.key_gone_at = clock()
         self.leader_heard = clock()  # when the node that the key names last asked for this one's support
         self.with_majority_since: float | None = None
@@ -251,13 +254,18 @@
 
     def _on_vote(self, node: str, m: dict) -> dict:
         """A candidate asks for support."""
-        return {"ok": not self.role.leads() and self.promise.vote(node)}
+        replaces = m.get("replaces")
+        stamp = replaces if isinstance(replaces, int) else 0
+        return {"ok": not self.role.leads() and self.promise.vote(node, stamp, m.get("dead") is not False)}
 
     def _on_release(self, node: str, m: dict) -> dict:
         """A leader gives support back, and may name who is to lead next."""
         token = m.get("tok")
         if isinstance(token, int):
             self.promise.release(node, token)
+        unwritten = m.get("unwritten")
+        if isinstance(unwritten, int):
+            self.promise.not_replaced(node, unwritten)
         if m.get("resign") == self.me:
             self.next_try = 0.0
         return {"ok": True}
@@ -372,15 +380,25 @@
         """Send a message to all peers; their answers as they come, None for none."""
         return [self._later(p.call(message, timeout=timeout)) for p in self.peers]
 
-    async def _votes(self) -> tuple[int, bool]:
+    def _proves_dead(self, record: dict, stamp: int) -> bool:
+        """Whether a key that names this node proves that nobody leads by the key before.
+
+        It does if it is that of an earlier process, or of a leadership that this one gave up. It may also be from
+        a write of this process that was carried out late, when the former leader had its promises again.
+        """
+        return record.get("incarnation") != self.incarnation or stamp == self.token
+
+    async def _votes(self, replaces: int, dead: bool) -> tuple[int, bool]:
         """Ask all peers; how many votes there are, this node's included, and whether any peer answered.
 
         A majority is enough: a leader that stands still or is cut off answers nothing, and waiting for
         its vote, and then for its promise, took over two seconds of each take-over from it.
         """
 
+        message = {"t": "vote", "n": self.me, "sok": True, "replaces": replaces, "dead": dead}
+
         async def ask(peer: Peer) -> dict | None:
-            answer = await peer.call({"t": "vote", "n": self.me, "sok": True}, timeout=0.7)
+            answer = await peer.call(message, timeout=0.7)
             if answer is not None:
                 self._note(peer, answer)
             return answer
@@ -397,53 +415,102 @@
     async def _campaign(self) -> None:
         self._become(Role.CANDIDATE, "no valid leader is known")
         won = False
+        replaced = 0  # the key that voters must not support any more, unless it turns out not to be replaced
         try:
             got = await self.store.read(keys.LEADER)
-            stamp = got.stamp
-            self.saw_key(got.value, stamp, got.position)
-            if not self._may_campaign() or not self.promise.vote(self.me):
+            record, stamp = got.value if isinstance(got.value, dict) else {}, got.stamp
+            self.saw_key(record, stamp, got.position)
+            if not self._may_campaign() or not self.promise.vote(self.me, stamp):
                 return
-            votes, heard = await self._votes()
-            mode = Mode.PROMISE
-            if votes < self.majority:
-                # A peer that answers could form a majority with this node or another, so it decides.
-                gone_for = self.clock() - (self.key_gone_at if stamp == 0 else self.promise.started)
-                if heard or not self._unfenced() or gone_for < ALONE_S:
-                    log.debug("campaign: %d votes", votes)
-                    return
-                mode = Mode.HOLD
-            ttl = LONG_HOLD_S if mode is Mode.PROMISE else SHORT_HOLD_S
-            sent = self.clock()
-            hold = await self.store.hold(ttl)
-            record = {"node": self.me, "incarnation": self.incarnation, "mode": mode.value}
-            token = await self.store.commit([(keys.LEADER, stamp)], [(keys.LEADER, record)], hold=hold)
-            self.first = stamp == 0
-            self.mode = mode
-            self.hold, self.hold_until, self.extended_at = hold, sent + ttl * (1 - DRIFT), sent
-            self.token = token
-            self.acks.clear()
-            self.with_majority_since = None
-            self.saw_key(record, token)
-            self.promise.renew(self.me, token)
-            self._become(Role.LOADING, f"{votes} votes, mode {mode.value}")
-            for p in self.peers:
-                self._later(self._ping(p))
+            replaced = stamp
+            mode = await self._ask_for_mode(record, stamp)
+            if mode is None:
+                return
+            await self._write_key(stamp, mode)
+            replaced = 0
             await self.load()
             if self.role is Role.LOADING:
                 won = True
                 self._become(Role.LEADER, "the picture is rebuilt")
         except Conflict:
             log.debug("campaign: another node was faster")
-        except (Refused, Unknown) as e:
+        except Refused as e:
             log.debug("campaign: %s", e)
+        except Unknown as e:
+            log.debug("campaign: %s", e)
+            replaced = 0 if replaced == self.unresolved else replaced
         finally:
+            if replaced:
+                self._keep_former_key(replaced)
             if not won:
-                self.next_try = self.clock() + 0.3 + 0.3 * self.rank + random.random() * 0.4
-                if self.role is Role.CANDIDATE:
-                    self.promise.release(self.me, self.promise.token)
-                    self._become(Role.FOLLOWER, "campaign failed")
-                else:
-                    self.step_down("could not load")
+                self._lose()
+
+    async def _ask_for_mode(self, record: dict, stamp: int) -> Mode | None:
+        """Ask for votes: the mode in which this node may lead, or None."""
+        dead = stamp == 0 or self._proves_dead(record, stamp)
+        votes, heard = await self._votes(stamp, dead)
+        if votes >= self.majority:
+            return Mode.PROMISE
+        # A peer that answers could form a majority with this node or another, so it decides.
+        gone_for = self.clock() - (self.key_gone_at if stamp == 0 else self.promise.started)
+        if heard or not self._unfenced() or not dead or gone_for < ALONE_S:
+            log.debug("campaign: %d votes", votes)
+            return None
+        return Mode.HOLD
+
+    async def _write_key(self, stamp: int, mode: Mode) -> None:
+        """Replace the leader key that has this stamp."""
+        ttl = LONG_HOLD_S if mode is Mode.PROMISE else SHORT_HOLD_S
+        sent = self.clock()
+        hold = await self.store.hold(ttl)
+        record = {"node": self.me, "incarnation": self.incarnation, "mode": mode.value}
+        try:
+            token = await self.store.commit([(keys.LEADER, stamp)], [(keys.LEADER, record)], hold=hold)
+        except Unknown:
+            self.unresolved = max(stamp, self.unresolved)
+            self.unresolved_holds.add(hold)
+            self._later(self._drop_unresolved())
+            raise
+        self.first = stamp == 0
+        self.mode = mode
+        self.hold, self.hold_until, self.extended_at = hold, sent + ttl * (1 - DRIFT), sent
+        self.token = token
+        self.acks.clear()
+        self.with_majority_since = None
+        self.saw_key(record, token)
+        self.promise.renew(self.me, token)
+        self._become(Role.LOADING, f"mode {mode.value}")
+        for p in self.peers:
+            self._later(self._ping(p))
+
+    async def _drop_unresolved(self) -> None:
+        """End the holds of writes without an answer: a write with a hold that has ended is not carried out."""
+        while self.unresolved_holds:
+            hold = next(iter(self.unresolved_holds))
+            try:
+                await self.store.drop(hold)
+                self.unresolved_holds.discard(hold)
+            except (Refused, Unknown) as e:
+                log.debug("could not drop the hold: %s", e)
+                await asyncio.sleep(DROP_AGAIN_S)
+
+    def _keep_former_key(self, stamp: int) -> None:
+        """This candidate has not replaced the key, so its leader may be supported again."""
+        if stamp == self.unresolved:
+            return
+        self.promise.not_replaced(self.me, stamp)
+        message = {"t": "release", "n": self.me, "unwritten": stamp}
+        for p in self.peers:
+            self._later(p.call(message))
+
+    def _lose(self) -> None:
+        """A campaign has failed; the next one comes after a pause that differs from node to node."""
+        self.next_try = self.clock() + 0.3 + 0.3 * self.rank + random.random() * 0.4
+        if self.role is Role.CANDIDATE:
+            self.promise.release(self.me, self.promise.token)
+            self._become(Role.FOLLOWER, "campaign failed")
+        else:
+            self.step_down("could not load")
 
     async def resign(self, to: str, why: str) -> None:
         """Stop commanding first, then say so, so that the successor need not wait for a promise."""
--- a/hookwall/promise.py
+++ b/hookwall/promise.py
@@ -17,6 +17,8 @@
         self.holder = ""
         self.until = -1e9
         self.token = 0
+        # Candidates that may have replaced a leader key, with that key's stamp. Such a write may be carried out late.
+        self.replacing: dict[str, int] = {}
         # The leader key as read after this process started: (node, stamp); stamp 0: no key.
         self.seen_key: tuple[str, int] | None = None
 
@@ -29,7 +31,7 @@
 
     def renew(self, node: str, token: int) -> bool:
         """A leader asks for support for its token."""
-        if token < self.token or not self.free_for(node):
+        if token < self.token or not self.free_for(node) or self.replaced(token):
             return False
         if self.guarded() and self.holder != node and (self.seen_key is None or self.seen_key[1] != token):
             return False
@@ -37,20 +39,36 @@
         self.until = self.clock() + PROMISE_S
         return True
 
-    def vote(self, node: str) -> bool:
-        """A candidate asks for support before it writes the leader key."""
+    def vote(self, node: str, replaces: int = 0, dead: bool = True) -> bool:
+        """A candidate asks for support before it replaces the leader key that has the stamp `replaces`.
+
+        From here on this node never supports the leader of that key again: the vote ends after a short time, but
+        the candidate's write may be carried out after any time. `dead`: a leader key that names the candidate is
+        that of an earlier process, or of a leadership that it gave up.
+        """
         if not self.free_for(node):
             return False
         if self.guarded() and self.holder != node:
             # A key that is gone means that no leader's hold is valid; a key that names the
             # candidate means that the leader it names was an earlier process of that node.
             key = self.seen_key
-            if key is None or (key[1] != 0 and key[0] != node):
+            if key is None or (key[1] != 0 and not (key[0] == node and dead)):
                 return False
         self.holder = node
         self.until = max(self.until, self.clock() + VOTE_S)
+        if replaces:
+            self.replacing[node] = max(replaces, self.replacing.get(node, 0))
         return True
 
+    def replaced(self, token: int) -> bool:
+        """Whether a candidate that this node voted for may have replaced the key of this token."""
+        return any(token <= stamp for stamp in self.replacing.values())
+
+    def not_replaced(self, node: str, stamp: int) -> None:
+        """A candidate says that it has not replaced the key of this stamp and is not going to."""
+        if self.replacing.get(node) == stamp:
+            del self.replacing[node]
+
     def release(self, node: str, token: int) -> None:
         """The holder gives its support back. A late copy must not undo a newer promise, hence the token."""
         if self.holder == node and token >= self.token:
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -6,8 +6,8 @@
 
 from hookwall import keys
 from hookwall.leadership import ALONE_S, LONELY_S, SHORT_HOLD_S, Leadership, Mode, Role
-from hookwall.promise import PROMISE_S, Promise
-from hookwall.store import KeyState
+from hookwall.promise import PROMISE_S, VOTE_S, Promise
+from hookwall.store import KeyState, Refused
 
 
 @pytest.fixture
@@ -283,7 +283,93 @@
     assert lead.key_stamp == 12
 
 
-# -- when a leader is valid --------------------------------------------------------------------------
+# -- votes and promises while a key is replaced -------------------------------------------------------
+
+
+def test_who_voted_to_replace_a_key_never_supports_its_leader_again(promise, clock):
+    """The candidate's write may be carried out after any time; the vote itself ends after VOTE_S."""
+    promise.renew("n1", 7)
+    clock.tick(PROMISE_S + 0.01)
+    assert promise.vote("n2", replaces=7)
+    clock.tick(VOTE_S + 0.01)
+    assert not promise.renew("n1", 7)
+    assert promise.renew("n2", 8)
+
+
+def test_a_candidate_that_wrote_nothing_lets_the_former_leader_be_supported(promise, clock):
+    promise.vote("n2", replaces=7)
+    clock.tick(VOTE_S + 0.01)
+    promise.vote("n0", replaces=7)
+    clock.tick(VOTE_S + 0.01)
+    promise.not_replaced("n2", 7)
+    assert not promise.renew("n1", 7), "another candidate may still replace it"
+    promise.not_replaced("n0", 6)
+    assert not promise.renew("n1", 7), "it speaks of an older key"
+    promise.not_replaced("n0", 7)
+    assert promise.renew("n1", 7)
+
+
+def unwritten(lead) -> list[object]:
+    return [m["unwritten"] for p in lead.peers for m in p.calls if "unwritten" in m]
+
+
+@pytest.mark.parametrize("mode", ["lost", "ghost"])
+def test_a_write_without_an_answer_leaves_the_former_leader_without_support(state, clock, mode):
+    state.epoch = 7
+    state.keys[keys.LEADER] = ({"node": "n1"}, 7)
+    lead = make(state, clock, [yes, silent])
+    lead.saw_key(*state.keys[keys.LEADER])
+    clock.tick(PROMISE_S * 2)
+    commit = state.commit
+
+    async def unanswered(*args, **options):
+        state.mode = mode
+        try:
+            return await commit(*args, **options)
+        finally:
+            state.mode = "ok"
+
+    state.commit = unanswered
+
+    async def campaign():
+        await lead._campaign()
+        await asyncio.sleep(0.01)
+
+    asyncio.run(campaign())
+    clock.tick(VOTE_S + 0.01)
+    assert lead.role is Role.FOLLOWER and unwritten(lead) == []
+    assert not lead.promise.renew("n1", 7)
+    assert "drop" in state.requests, "once its hold has ended the write can't happen any more"
+    # The next campaign fails for certain, but the first write may still be on its way.
+    state.commit, state.mode = refused, "ok"
+    lead.next_try = 0.0
+    state.keys[keys.LEADER] = ({"node": "n1"}, 7)
+    asyncio.run(lead._campaign())
+    assert unwritten(lead) == [] and not lead.promise.renew("n1", 7)
+
+
+async def refused(*args, **options):
+    raise Refused("503")
+
+
+@pytest.mark.parametrize("answers", [[no, silent], [yes, silent]])
+def test_a_candidate_that_fails_for_certain_says_so(state, clock, answers):
+    """Too few votes, or a write that was refused."""
+    state.epoch = 7
+    state.keys[keys.LEADER] = ({"node": "n1"}, 7)
+    lead = make(state, clock, answers)
+    lead.saw_key(*state.keys[keys.LEADER])
+    clock.tick(PROMISE_S * 2)
+    state.commit = refused
+
+    async def campaign():
+        await lead._campaign()
+        await asyncio.sleep(0.01)
+
+    asyncio.run(campaign())
+    assert unwritten(lead) == [7, 7]
+    clock.tick(VOTE_S + 0.01)
+    assert lead.promise.renew("n1", 7)
 
 
 def test_a_leader_whose_own_promise_is_with_another_node_is_not_valid(state, clock):
@@ -302,6 +388,39 @@
     assert not lead.valid()
 
 
+def test_a_key_from_a_late_write_of_one_s_own_does_not_prove_that_nobody_leads(state, clock):
+    """The former leader may have its promises again; a node cut off from its peers took over at once."""
+    lead = make(state, clock, [silent, silent])
+    state.epoch = 9
+    state.keys[keys.LEADER] = ({"node": "n0", "incarnation": lead.incarnation}, 9)
+    clock.tick(60.0)
+    asyncio.run(lead._campaign())
+    assert lead.role is Role.FOLLOWER and state.keys[keys.LEADER][1] == 9
+    assert all(m["dead"] is False for p in lead.peers for m in p.calls if m["t"] == "vote")
+    # An earlier process's key does.
+    state.keys[keys.LEADER] = ({"node": "n0", "incarnation": lead.incarnation + 1}, 9)
+    lead.next_try = 0.0
+    asyncio.run(lead._campaign())
+    assert lead.role is Role.LEADER and lead.mode is Mode.HOLD
+
+
+def test_a_restarted_voter_does_not_take_a_late_key_for_that_of_an_earlier_process(clock):
+    promise = Promise("n2", clock)
+    promise.seen_key = ("n0", 9)
+    assert not promise.vote("n0", replaces=9, dead=False)
+    assert promise.vote("n0", replaces=9)
+
+
+def test_a_vote_is_asked_with_what_it_replaces(state, clock):
+    lead = make(state, clock, [yes, yes])
+    clock.tick(PROMISE_S * 2)
+    assert lead.handle({"t": "vote", "n": "n1", "replaces": 7})["ok"]
+    clock.tick(VOTE_S + 0.01)
+    assert not lead.handle({"t": "ping", "n": "n2", "tok": 7})["ok"]
+    lead.handle({"t": "release", "n": "n1", "unwritten": 7})
+    assert lead.handle({"t": "ping", "n": "n2", "tok": 7})["ok"]
+
+
 def test_a_leader_that_was_not_valid_for_a_while_says_so(state, clock):
     """Another node may have answered workers meanwhile, so their leases count from when it is valid again."""
     lead, lapses = make(state, clock, [yes, silent]), []
--- a/tests/test_ran_twice.py
+++ b/tests/test_ran_twice.py
@@ -7,6 +7,7 @@
 from world import Worker, World, play
 
 from hookwall import keys
+from hookwall.promise import VOTE_S
 
 
 def machine_of(world: World, ref: str) -> Worker:
@@ -60,3 +61,44 @@
         assert any(p.startswith(ref) for p in worker.tasks), "the kept task is gone"
 
     play(scenario)
+
+
+def test_a_leader_key_that_is_written_late_does_not_show_that_nobody_leads():
+    """A leader stands still and then lacks the state service; a candidate's write of the key is carried out 3 s late.
+
+    By then the former leader has its promises again. It loses its peers, and so does the candidate, which found a key
+    that names itself, took it for its earlier process's, and led alone at once: two nodes were valid for seconds.
+    """
+    writes: list[tuple[str, float]] = []
+
+    async def scenario(world: World) -> None:
+        Invariants(world).watch()
+        ref = world.job(1, run_s=300.0)
+        await world.accepted(ref)
+        await world.runs(ref)
+        lead = world.leader().settings.node_name
+
+        def late(node: str, body: dict) -> float | None:
+            sets_key = any(change.get("set") == keys.LEADER for change in body.get("apply", ()))
+            if not sets_key or writes:
+                return None
+            writes.append((node, world.now()))
+            return 3.0
+
+        world.service.late = late
+        world.freeze(lead)
+        await world.until(lambda: bool(writes), 12.0, "nobody takes over")
+        candidate, at = writes[0]
+        await asyncio.sleep(at + VOTE_S + 0.01 - world.now())
+        world.apart |= {frozenset((candidate, other)) for other in world.names if other != candidate}
+        world.service.refused.add(lead)
+        world.thaw(lead)
+        await asyncio.sleep(at + 2.9 - world.now())
+        world.apart |= {frozenset((lead, other)) for other in world.names if other != lead}
+        await asyncio.sleep(12.0)
+        world.service.refused.clear()
+        world.apart.clear()
+        await asyncio.sleep(10.0)
+        assert world.leader() is not None and world.on_machines(ref)
+
+    play(scenario)
