A task that a worker reports is not started elsewhere, whatever the records say

A live task that no start known to the leader explains was told to stop, and its machine got no new work; but the task itself could be placed and launched on another machine meanwhile. The same for a start refused with in_use. Whatever wrong conclusion had taken the start out of the record, the evidence that it was wrong did not stop the second start.

Such a task is not placed, a stored start of it is not launched on another machine, a gang with one is not started, and it counts for its team's limit and its zone, until its worker reports without it, its session or lease has ended, or its machine is deleted. A late copy of a report, which only a new leader can mistake for news, delays a start by one report.

--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -62,6 +62,8 @@
 
     def reset(self, token: int) -> None:
         """Forget everything: a new leader believes records, lists and reports only."""
+        for m in self.machines.values():
+            self._set_unrecorded(m, set())
         self.machines.clear()
         self.by_index.clear()
         self.deleted.clear()
@@ -205,7 +207,20 @@
         """All starts on a machine are shown to be gone."""
         for job, a in list(m.entries.values()):
             self.drop(job, a, why)
-        m.strays.clear()
+        self._set_unrecorded(m, set())
+
+    def _set_unrecorded(self, m: Machine, tasks: set[tuple[str, int]]) -> None:
+        """The tasks that a worker reports and that no start known here explains.
+
+        However that came about, they are there: they are not started anywhere else until they are shown gone.
+        """
+        for ref, task in m.unrecorded - tasks:
+            if ref in self.table.jobs:
+                self.table.jobs[ref].not_seen_on(task, m.name)
+        for ref, task in tasks:
+            if ref in self.table.jobs:
+                self.table.jobs[ref].seen_on(task, m.name)
+        m.unrecorded = tasks
 
     def gone(self, m: Machine, why: str) -> None:
         """The cloud has confirmed that the machine is no more."""
@@ -261,14 +276,14 @@
                 self.become(m, Phase.NOTICED, f"taken in {b.notice_s:.1f} s")
         orders: list[Order] = []
         seen: set[tuple[str, int]] = set()
-        strays: set[tuple[str, int]] = set()
+        unrecorded: set[tuple[str, int]] = set()
         for t in b.tasks:
             parts = wire.split_task(t.piece)
             if parts is None:
                 continue
-            if self._reported(m, parts, t, orders, strays, now):
+            if self._reported(m, parts, t, orders, unrecorded, now):
                 seen.add(parts)
-        m.strays = strays
+        self._set_unrecorded(m, unrecorded)
         current = b.token == self.token
         for key, (job, a) in list(m.entries.items()):
             if key not in seen:
@@ -308,7 +323,7 @@
         key: tuple[str, int],
         t: wire.TaskReport,
         orders: list[Order],
-        strays: set[tuple[str, int]],
+        unrecorded: set[tuple[str, int]],
         now: float,
     ) -> bool:
         """One task of a report. False if the worker knows nothing of the task once it has the answer."""
@@ -325,7 +340,7 @@
                 return mine
             return True
         if not mine:
-            strays.add(key)
+            unrecorded.add(key)
             orders.append(wire.stop(t.piece, t.attempt, 0.0))
             return True
         job, a = entry
@@ -361,7 +376,8 @@
             # It was reported before and is not now, without having exited: it can't be there.
             self.drop(job, a, "vanished")
             return
-        orders.append(wire.launch(job.ref, a.task, a.attempt))
+        if job.may_launch(a):
+            orders.append(wire.launch(job.ref, a.task, a.attempt))
 
     def _exited(self, m: Machine, job: Job, a: Active, cause: str, saved: bool) -> None:
         if cause == "done":
@@ -436,7 +452,8 @@
                 m.silent, m.hears = True, False
                 log.info("machine %s is silent", m.name)
                 self.wake()
-            if not m.entries or now - max(m.answered, self.began) <= self.lease_gone or self.kept.kept(m.name):
+            idle = not m.entries and not m.unrecorded
+            if idle or now - max(m.answered, self.began) <= self.lease_gone or self.kept.kept(m.name):
                 continue
             if now - self.kept.heard(m.name) > self.lease_gone:
                 log.info("machine %s: lease is over, %d tasks gone", m.name, len(m.entries))
@@ -466,7 +483,7 @@
             and m.hears
             and not m.silent
             and m.tenure > 0
-            and not m.strays
+            and not m.unrecorded
             and now >= m.full_until
             and self.info(m.type) is not None
         )
--- a/hookwall/jobs.py
+++ b/hookwall/jobs.py
@@ -79,6 +79,7 @@
         "tasks",
         "team",
         "types",
+        "unrecorded",
         "void",
         "writing",
         "zone",
@@ -114,6 +115,7 @@
         self.types: frozenset[int] | None = None
         self.zone = -1
         self.raw: object = None  # the record as stored
+        self.unrecorded: dict[int, set[str]] = {}  # task -> machines that report it although no start there is known
         self.void = False  # the record has to be taken again even if its stamp is known
 
     def final(self) -> bool:
@@ -125,9 +127,9 @@
         if self.phase != OPEN or self.done is None:
             return []
         out: list[int] = []
-        n, done, active = self.cursor, self.done, self.active
+        n, done, active, unrecorded = self.cursor, self.done, self.active, self.unrecorded
         while n < self.tasks and len(out) < most:
-            if not done[n] and n not in active:
+            if not done[n] and n not in active and n not in unrecorded:
                 if not out:
                     self.cursor = n
                 out.append(n)
@@ -139,7 +141,24 @@
     def n_pending(self) -> int:
         if self.phase != OPEN:
             return 0
-        return self.tasks - self.n_done - sum(1 for a in self.active.values() if not a.finished)
+        elsewhere = sum(1 for task in self.unrecorded if task not in self.active)
+        return self.tasks - self.n_done - sum(1 for a in self.active.values() if not a.finished) - elsewhere
+
+    def seen_on(self, task: int, machine: str) -> None:
+        """A worker reports a task of which no start there is known: it must not start anywhere else."""
+        if 0 <= task < self.tasks:
+            self.unrecorded.setdefault(task, set()).add(machine)
+
+    def not_seen_on(self, task: int, machine: str) -> None:
+        """Such a task is not on that machine any more."""
+        machines = self.unrecorded.get(task, set())
+        machines.discard(machine)
+        if not machines and self.unrecorded.pop(task, None) is not None:
+            self.cursor = min(self.cursor, task)
+
+    def may_launch(self, a: Active) -> bool:
+        """Whether a start that is stored may be launched, as far as the job is concerned."""
+        return not self.unrecorded.get(a.task, set()) - {a.machine}
 
     def mark_done(self, task: int) -> None:
         if self.done is not None and not self.done[task]:
--- a/hookwall/machine.py
+++ b/hookwall/machine.py
@@ -63,11 +63,11 @@
         "silent",
         "solid_at",
         "spot",
-        "strays",
         "tenure",
         "tick",
         "token",
         "type",
+        "unrecorded",
         "up_at",
         "zone",
     )  # fmt: skip
@@ -85,7 +85,7 @@
         self.token = 0
         self.answered = -1e9  # when a report was last answered by this leader
         self.entries: dict[tuple[str, int], tuple[Job, Active]] = {}
-        self.strays: set[tuple[str, int]] = set()
+        self.unrecorded: set[tuple[str, int]] = set()  # tasks that its worker reports and that no start here explains
         self.images: OrderedDict[int, float] = OrderedDict()  # image -> GB, most recently used last
         self.notice_at: float | None = None
         self.errors = 0
--- a/hookwall/renting.py
+++ b/hookwall/renting.py
@@ -420,7 +420,7 @@
             return
         idle = []
         for m in fleet.machines.values():
-            if m.phase is not Phase.UP or m.held_for or m.strays or m.silent or (waits and not m.spot):
+            if m.phase is not Phase.UP or m.held_for or m.unrecorded or m.silent or (waits and not m.spot):
                 continue
             if m.entries and len(fleet.type_info) > 1:
                 continue  # with several types, need in all says little about the need of this one
@@ -476,7 +476,7 @@
                 why = "the cloud has taken it"
             elif m.phase is Phase.SICK and not m.entries:
                 why = "it fails its tasks"
-            elif m.phase is Phase.DRAINING and not m.entries and not m.strays:
+            elif m.phase is Phase.DRAINING and not m.entries and not m.unrecorded:
                 why = "empty"
             if why:
                 self.fleet.become(m, Phase.LEAVING, why)
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -76,11 +76,12 @@
             if m.held_for:
                 state.held[m.index] = m.held_for
         for job in self.table.open.values():
-            if job.spec is None or not job.active:
+            if job.spec is None or not (job.active or job.unrecorded):
                 continue
+            there = len(job.active) + len(job.unrecorded)
             u = state.usage.setdefault(job.team, Usage())
-            u.cpus += job.spec.cpus * len(job.active)
-            u.gpus += job.spec.gpus * len(job.active)
+            u.cpus += job.spec.cpus * there
+            u.gpus += job.spec.gpus * there
         return state
 
     def _still_waits(self, ref: str) -> bool:
@@ -129,7 +130,7 @@
         for job in self.table.open.values():
             if job.phase != OPEN or job.spec is None or now < job.not_before:
                 continue
-            if not job.pending(1) or (job.spec.gang and job.active):
+            if not job.pending(1) or (job.spec.gang and (job.active or job.unrecorded)):
                 self.waiting.pop(job.ref, None)
                 continue
             queue.append(((job.ref not in firm, job.rank, job.arrival, job.ref), job))
@@ -179,8 +180,10 @@
         assert spec is not None
         in_zone: dict[int, int] = {}
         if spec.one_zone or spec.spread or spec.service:
-            for a in job.active.values():
-                zone = self.fleet.zone_of(a.machine)
+            machines = [a.machine for a in job.active.values()]
+            machines.extend(name for names in job.unrecorded.values() for name in names)
+            for machine in machines:
+                zone = self.fleet.zone_of(machine)
                 in_zone[zone] = in_zone.get(zone, 0) + 1
         return Ask(
             count, job.tasks, spec.gang, spec.cpus, spec.gpus, spec.memory, job.image, job.types, job.zone,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -281,3 +281,77 @@
     cluster.fleet.gone(cluster.fleet.machines["vm-1"], "deleted")
     assert cluster.beat("vm-1", tick=50) is None
     assert "vm-1" not in cluster.fleet.machines
+
+
+# -- tasks that a worker reports and that no start explains --------------------------------------------
+
+THERE = [("run-000001/0", 9, "running", None)]
+
+
+def ends_there(cluster, how: str) -> None:
+    """The task that vm-1 reports is not there any more."""
+    if how == "not reported":
+        cluster.beat("vm-1")
+    elif how == "exited":
+        cluster.beat("vm-1", [("run-000001/0", 9, "exited", "halted")])
+    elif how == "a later session":
+        cluster.beat("vm-1", tenure=2)
+    elif how == "deleted":
+        cluster.fleet.gone(cluster.fleet.machines["vm-1"], "deleted")
+    elif how == "the lease is over":
+        for _ in range(7):
+            cluster.clock.tick(2.0)
+            cluster.beat("vm-2")
+            cluster.fleet.expire(cluster.clock())
+
+
+@pytest.mark.parametrize("how", ["not reported", "exited", "a later session", "deleted", "the lease is over"])
+def test_a_task_that_a_worker_reports_is_not_started_elsewhere(cluster, how):
+    """Only the machine was left alone; the task itself was placed on the next one while it ran."""
+    cluster.beat("vm-1", THERE)
+    cluster.beat("vm-2")
+    job = cluster.submit(1)
+    cluster.beat("vm-1", THERE)
+    cluster.scheduler.round()
+    assert not job.active and job.n_pending() == 0
+    ends_there(cluster, how)
+    cluster.scheduler.round()
+    assert job.active and job.unrecorded == {}
+
+
+def test_a_start_is_not_launched_while_another_machine_reports_the_task(cluster):
+    cluster.beat("vm-2")
+    job = cluster.submit(1)
+    cluster.scheduler.round()
+    cluster.store()
+    cluster.beat("vm-1", THERE)
+    assert cluster.beat("vm-2") == []
+    cluster.beat("vm-1")
+    assert cluster.beat("vm-2") == [("launch", "run-000001/0", 1)] and job.active
+
+
+def test_a_new_leader_starts_a_gang_only_if_none_of_its_tasks_is_seen(cluster):
+    cluster.beat("vm-1", THERE)
+    cluster.beat("vm-2")
+    job = cluster.submit(1, shape="ensemble", pieces=2)
+    cluster.beat("vm-1", THERE)
+    cluster.scheduler.round()
+    assert not job.active
+    cluster.beat("vm-1")
+    cluster.scheduler.round()
+    assert len(job.active) == 2
+
+
+def test_a_task_that_a_worker_reports_counts_for_its_team_s_limit_and_its_zone(cluster):
+    red = [("run-000001/0", 9, "running", None)]
+    cluster.beat("vm-1", zone="west")
+    job = cluster.submit(1, owner="red", pieces=5, cards=4.0, samePlace=True)
+    cluster.beat("vm-1", red, zone="west")
+    for name in ("vm-2", "vm-3", "vm-4", "vm-5", "vm-6"):
+        cluster.beat(name, zone="west" if name in ("vm-5", "vm-6") else "east")
+    cluster.scheduler.round()
+    # Of 16 GPUs four are in use; its other tasks go to the zone of the first.
+    assert sorted(a.machine for a in job.active.values()) == ["vm-5", "vm-6"]
+    other = cluster.submit(2, owner="red", pieces=5, cards=4.0)
+    cluster.scheduler.round()
+    assert len(other.active) == 1
--- a/tests/world.py
+++ b/tests/world.py
@@ -831,9 +831,11 @@
             event.set()
         for w in worlds:
             w.frozen.clear()
-        for task in asyncio.all_tasks(loop):
+        left = asyncio.all_tasks(loop)
+        for task in left:
             task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
+        if left:
+            loop.run_until_complete(asyncio.wait(left, timeout=1.0))
         asyncio.set_event_loop(None)
         loop.close()
     assert world.broken == []
