Nothing is started of a job whose newest record can't be read

A record that was malformed, or whose parts had not been seen, left the job with what an older record said: its starts could be launched and its tasks placed, although the newer record may have moved them; and decisions could not be made void. A part's removal that the watch told late also removed the part that had been written again since.

Such a job is not placed, launched or written until a record can be read; a leader reads records with missing parts again by itself. A part's removal counts only from its position.

--- a/hookwall/job_writer.py
+++ b/hookwall/job_writer.py
@@ -83,6 +83,8 @@
             if jobs:
                 await self._write(jobs)
                 continue
+            if self.lead.valid() and self.table.parts.incomplete:
+                await self._read_incomplete()
             if self.lead.valid() and self.table.parts.stale:
                 await self._collect_parts()
             await self._wait()
@@ -175,13 +177,13 @@
             first = list(parts.items())[:step]
             written = await self.store.commit(conditions, first)
             for key, text in first:
-                self.table.take_part(key, text)
+                self.table.take_part(key, text, written)
                 conditions.append((key, written))
                 del parts[key]
         put = [*parts.items(), *((keys.JOBS + w.job.ref, w.encoded.value) for w in batch)]
         written = await self.store.commit(conditions, put)
         for key, text in parts.items():
-            self.table.take_part(key, text)
+            self.table.take_part(key, text, written)
         return written
 
     def _answered(self, write: PendingWrite, stamp: int, same: bool) -> None:
@@ -256,6 +258,14 @@
             elif key in self.kept.keys:
                 self.kept.take(key, None, 0)
 
+    async def _read_incomplete(self) -> None:
+        """Read a record again whose parts have not been seen: until then nothing of the job is started."""
+        ref = next(iter(self.table.parts.incomplete))
+        try:
+            await self.refresh(keys.JOBS + ref)
+        except (Refused, Unknown) as error:
+            log.debug("refresh of %s: %s", ref, error)
+
     # -- parts that no record names -----------------------------------------------------------------
 
     async def _collect_parts(self) -> None:
@@ -273,8 +283,10 @@
         unused = self.table.parts.unused(ref, job.raw)[: self.store.batch()]
         if not unused:
             return
+        removed = max(self.table.parts.stamps.get(key, 0) for key in unused)
         try:
-            await self.store.commit([(keys.LEADER, self.lead.token), (keys.JOBS + ref, job.stamp)], delete=unused)
+            conditions = [(keys.LEADER, self.lead.token), (keys.JOBS + ref, job.stamp)]
+            removed = await self.store.commit(conditions, delete=unused)
         except (Conflict, Refused) as error:
             log.debug("parts of %s stay: %s", ref, type(error).__name__)
             self.table.parts.stale.add(ref)
@@ -282,7 +294,7 @@
         except Unknown:
             pass  # they may be gone, so they are written anew if they are needed
         for key in unused:
-            self.table.parts.remove(key)
+            self.table.parts.remove(key, removed)
         self.table.parts.stale.add(ref)
 
 
--- a/hookwall/jobs.py
+++ b/hookwall/jobs.py
@@ -79,6 +79,7 @@
         "tasks",
         "team",
         "types",
+        "unreadable",
         "unrecorded",
         "void",
         "writing",
@@ -116,6 +117,7 @@
         self.zone = -1
         self.raw: object = None  # the record as stored
         self.unrecorded: dict[int, set[str]] = {}  # task -> machines that report it although no start there is known
+        self.unreadable = False  # a newer record was seen that can't be read, so what is known here may be over
         self.void = False  # the record has to be taken again even if its stamp is known
 
     def final(self) -> bool:
@@ -124,7 +126,7 @@
 
     def pending(self, most: int) -> list[int]:
         """Up to `most` tasks that are neither done nor possibly on a machine, lowest first."""
-        if self.phase != OPEN or self.done is None:
+        if self.phase != OPEN or self.done is None or self.unreadable:
             return []
         out: list[int] = []
         n, done, active, unrecorded = self.cursor, self.done, self.active, self.unrecorded
@@ -158,7 +160,7 @@
 
     def may_launch(self, a: Active) -> bool:
         """Whether a start that is stored may be launched, as far as the job is concerned."""
-        return not self.unrecorded.get(a.task, set()) - {a.machine}
+        return not self.unreadable and not self.unrecorded.get(a.task, set()) - {a.machine}
 
     def mark_done(self, task: int) -> None:
         if self.done is not None and not self.done[task]:
@@ -214,7 +216,7 @@
             self.n_done = self.tasks if self.phase == DONE else 0
         self.stored_done = self.n_done
         self.cursor = 0
-        self.dirty = self.void = self.fresh = False
+        self.dirty = self.void = self.fresh = self.unreadable = False
 
     def _take_done(self, done: list[int]) -> None:
         """The tasks that the record says are done."""
@@ -245,7 +247,7 @@
     first: list[Job] = []
     rest: list[Job] = []
     for job in jobs:
-        if not job.dirty or job.writing:
+        if not job.dirty or job.writing or job.unreadable:
             continue
         if job.dirty_at < 0:
             job.dirty_at = now
@@ -291,11 +293,13 @@
         try:
             job.take(records.decode(ref, value, self.parts.get), value, stamp, self.clock())
         except MissingParts:
+            job.unreadable = True
             self.parts.await_parts(ref, value, stamp)
             if _phase(value) == WITHDRAWN:
                 self.withdraw(ref, stamp)
             return
         except (ValueError, IndexError, MalformedRecord) as error:
+            job.unreadable = True
             log.error("record of %s is malformed: %s", ref, error)
             return
         self.parts.complete(ref)
@@ -308,9 +312,9 @@
         self.note(job)
         self.on_taken(job, before)
 
-    def take_part(self, key: str, text: object) -> None:
-        """A part of a record as read or watched."""
-        ref = self.parts.add(key, text)
+    def take_part(self, key: str, text: object, stamp: int) -> None:
+        """A part of a record as read, watched or written."""
+        ref = self.parts.add(key, text, stamp)
         waiting = self.parts.incomplete.get(ref)
         if waiting is not None:
             self.apply(keys.JOBS + ref, *waiting)
@@ -443,6 +447,7 @@
 
     def __init__(self) -> None:
         self.texts: dict[str, str] = {}
+        self.stamps: dict[str, int] = {}
         self.by_job: dict[str, set[str]] = {}
         self.incomplete: dict[str, tuple[object, int]] = {}  # job -> its newest record that can't be read yet
         self.stale: set[str] = set()  # jobs that may have parts that their record does not name any more
@@ -450,17 +455,21 @@
     def get(self, key: str) -> str | None:
         return self.texts.get(key)
 
-    def add(self, key: str, text: object) -> str:
+    def add(self, key: str, text: object, stamp: int) -> str:
         """A part as read, watched or written; returns the job that it belongs to."""
         ref = key[len(keys.PARTS) :].partition("/")[0]
         if isinstance(text, str):
             self.texts[key] = text
+            self.stamps[key] = max(stamp, self.stamps.get(key, 0))
             self.by_job.setdefault(ref, set()).add(key)
             self.stale.add(ref)
         return ref
 
-    def remove(self, key: str) -> None:
-        """A part is gone."""
+    def remove(self, key: str, stamp: int) -> None:
+        """A part was removed by the change `stamp`; it may have been written again since."""
+        if stamp < self.stamps.get(key, 0):
+            return
+        self.stamps.pop(key, None)
         ref = key[len(keys.PARTS) :].partition("/")[0]
         self.texts.pop(key, None)
         of_job = self.by_job.get(ref, set())
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -123,7 +123,7 @@
         elif key.startswith(keys.KEEP):
             self.fleet.kept.take(key, value, stamp)
         elif key.startswith(keys.PARTS):
-            self.table.take_part(key, value)
+            self.table.take_part(key, value, stamp)
         elif key.startswith(keys.FORMAT):
             self.formats.saw(key, value)
         elif key == keys.CATALOG and not self.leadership.valid():
@@ -137,7 +137,7 @@
         if key == keys.LEADER:
             self.leadership.saw_key({}, 0, stamp)
         elif key.startswith(keys.PARTS):
-            self.table.parts.remove(key)
+            self.table.parts.remove(key, stamp)
         elif key.startswith(keys.KEEP):
             known = self.fleet.kept.keys.get(key)
             if known is not None and stamp > known[0]:
--- a/hookwall/user_api.py
+++ b/hookwall/user_api.py
@@ -74,7 +74,7 @@
             for part in self.table.missing_parts(ref):
                 found = await self.store.get(part)
                 if found is not None:
-                    self.table.take_part(part, found[0])
+                    self.table.take_part(part, *found)
             if not self.table.missing_parts(ref):
                 return
         raise Unknown("parts of a record are missing")
@@ -103,13 +103,13 @@
             first = list(new.items())[:step]
             written = await self.store.commit([(key, stamp)], first)
             for part, text in first:
-                self.table.take_part(part, text)
+                self.table.take_part(part, text, written)
                 del new[part]
                 if stamp:
                     conditions.append((part, written))
         written = await self.store.commit(conditions, [*new.items(), (key, encoded.value)])
         for part, text in new.items():
-            self.table.take_part(part, text)
+            self.table.take_part(part, text, written)
         self.table.apply(key, encoded.value, written)
         return written
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hookwall.jobs import write_order
 from hookwall.records import plain
 
 
@@ -355,3 +356,28 @@
     other = cluster.submit(2, owner="red", pieces=5, cards=4.0)
     cluster.scheduler.round()
     assert len(other.active) == 1
+
+
+# -- records that can't be read -----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "value", [{"phase": "open", "n": 1, "on": 7}, {"phase": "open", "n": 1, "packed": {"fixed": ["x"], "state": "y"}}]
+)
+def test_nothing_is_started_of_a_job_whose_newest_record_can_t_be_read(cluster, value):
+    """What an older record says may be over: its start may have been moved."""
+    cluster.beat("vm-1")
+    cluster.beat("vm-2")
+    job, other = cluster.submit(1), cluster.submit(2, pieces=2)
+    cluster.scheduler.round()
+    cluster.store()
+    name = job.active[0].machine
+    other.remove(0)
+    for each in (job, other):
+        cluster.table.apply(f"hookwall/job/{each.ref}", value, 90)
+    assert not [o for n in ("vm-1", "vm-2") for o in cluster.beat(n)]
+    cluster.scheduler.round()
+    assert len(other.active) == 1 and write_order([job, other], 1e9, True) == []
+    readable = plain(job.record())
+    cluster.table.apply(f"hookwall/job/{job.ref}", readable, 91)
+    assert cluster.beat(name) == [("launch", "run-000001/0", 1)]
--- a/tests/test_job_writer.py
+++ b/tests/test_job_writer.py
@@ -31,7 +31,7 @@
     state.keys[keys.LEADER] = ({"node": "n0"}, 5)
     for key, (value, stamp) in state.keys.items():
         if key.startswith(keys.PARTS):
-            table.take_part(key, value)
+            table.take_part(key, value, stamp)
         elif key == KEY:
             table.apply(key, value, stamp)
     return JobWriter(table, state, SimpleNamespace(token=5), Kept(clock), [], clock)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -273,7 +273,7 @@
         table.apply(key, encoded.value, 9)
         assert table.jobs["run-000001"].stamp == 0 and len(table.missing_parts("run-000001")) == len(encoded.parts)
     for part, text in encoded.parts.items():
-        table.take_part(part, text)
+        table.take_part(part, text, 1)
     if not head_first:
         table.apply(key, encoded.value, 9)
     assert table.jobs["run-000001"].stamp == 9 and table.jobs["run-000001"].spec.needs
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -6,7 +6,8 @@
 import pytest
 from conftest import description
 
-from hookwall import records, wire
+from hookwall import keys, records, wire
+from hookwall.jobs import PartTable
 from hookwall.records import JobRecord, MalformedRecord, MissingParts, RecordTooLarge
 
 REF = "run-000001"
@@ -95,3 +96,15 @@
 def test_a_malformed_record_is_an_error_of_its_own(value):
     with pytest.raises(MalformedRecord):
         records.decode(REF, value, lambda key: None)
+
+
+def test_a_part_that_was_written_again_since_its_removal_stays():
+    """The watch may tell of the removal after this node has written the part anew."""
+    parts = PartTable()
+    key = f"{keys.PARTS}run-000001/abc"
+    parts.add(key, "text", 5)
+    parts.add(key, "text", 9)
+    parts.remove(key, 7)
+    assert parts.get(key) == "text"
+    parts.remove(key, 9)
+    assert parts.get(key) is None
