A record seen while a write was under way is taken although the leadership ended

A change of a record that the watch tells while this node writes it is left aside until the write is answered. If the leadership had ended by then it stayed aside, and the node knew an older record until the next change. A new leadership reads all records, so nothing was started from it. Test in test_job_writer (failed before).

--- a/hookwall/job_writer.py
+++ b/hookwall/job_writer.py
@@ -191,8 +191,16 @@
         job = write.job
         job.writing = False
         revert, job.revert_after_write = job.revert_after_write, False
-        if not same:
-            return
+        if same:
+            self._take_note(write, stamp, revert)
+        if job.parked is not None:
+            value, at = job.parked
+            job.parked = None
+            self.table.apply(keys.JOBS + job.ref, value, at)
+
+    def _take_note(self, write: PendingWrite, stamp: int, revert: bool) -> None:
+        """The write has happened, or its job has to be written again."""
+        job = write.job
         if stamp:
             job.stored(stamp, write.starts, write.phase, write.done, write.encoded.value)
             self.table.parts.complete(job.ref)
@@ -204,10 +212,6 @@
             job.fresh, job.dirty_at = job.fresh or write.fresh, write.dirty_at
             if revert:
                 self.table.revert_job(job)
-        if job.parked is not None:
-            value, at = job.parked
-            job.parked = None
-            self.table.apply(keys.JOBS + job.ref, value, at)
 
     # -- what had changed meanwhile ----------------------------------------------------------------
 
--- a/tests/test_job_writer.py
+++ b/tests/test_job_writer.py
@@ -156,3 +156,17 @@
 
 async def _conflict(*args, **options):
     raise Conflict([KEEPER], 9)
+
+
+def test_a_record_seen_while_a_write_was_under_way_is_taken_although_the_leadership_ended(leads, state):
+    """It was left aside for good, so this node knew an older record until the next change."""
+    job = leads.table.jobs["run-000002"]
+
+    async def meanwhile(*args, **options):
+        leads.table.apply(keys.JOBS + job.ref, {"phase": "withdrawn", "n": 1, "next": 2, "on": []}, 12)
+        leads.lead.role = Role.FOLLOWER
+        raise Conflict([keys.LEADER], 12)
+
+    state.commit = meanwhile
+    write(leads)
+    assert job.stamp == 12 and job.parked is None and job.final()
--- a/tests/world.py
+++ b/tests/world.py
@@ -483,7 +483,9 @@
     def _task(self, loop: asyncio.AbstractEventLoop, work: Any, **options: Any) -> asyncio.Task:
         """What a node does stands still with the node; tasks inherit the context of who made them."""
         name = RUNS_IN.get(None)
-        return asyncio.Task(work if name is None else self._with_node(name, work), loop=loop, **options)
+        task = asyncio.Task(work if name is None else self._with_node(name, work), loop=loop, **options)
+        task.add_done_callback(lambda _: work.close())  # also where it is cancelled before it has begun
+        return task
 
     async def _with_node(self, name: str, work: Any) -> Any:
         return await _step_by_step(work, lambda: self.frozen.get(name))
