--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,8 +1,11 @@
 """When a start is shown to be gone, and what workers are told. Each test guards a rule."""
 
+import cbor2
 import pytest
 
+from hookwall.fleet import Fleet
 from hookwall.jobs import write_order
+from hookwall.peers import MAX_FRAME, frame
 from hookwall.records import plain
 
 
@@ -381,3 +384,39 @@
     readable = plain(job.record())
     cluster.table.apply(f"hookwall/job/{job.ref}", readable, 91)
     assert cluster.beat(name) == [("launch", "run-000001/0", 1)]
+
+
+# -- what is told to the next leader -------------------------------------------------------------------
+
+
+def fleet_of(cluster, count: int, images: int):
+    for n in range(count):
+        machine = cluster.fleet.machine(f"vm-{n:06d}", "g4", "east", False)
+        for image in range(images):
+            machine.images[cluster.fleet.images.of(f"image-{image}")] = 5.0
+    return cluster.fleet
+
+
+def test_a_hint_of_4000_machines_fits_messages_and_reaches_the_next_leader_whole(cluster, params, clock):
+    """In one message it was larger than peers take, so each fifth ping ended their connection, and told nothing."""
+    fleet = fleet_of(cluster, 4000, 10)
+    peer = Fleet(params, cluster.table, clock)
+    told = 0
+    for _ in range(8):
+        hint = fleet.hint()
+        message = frame({"t": "ping", "hint": hint, "cancelled": []})
+        assert len(message) < MAX_FRAME
+        told += len(hint["warm"])
+        peer.take_hint(cbor2.loads(message[4:])["hint"])
+    assert told == 4000
+    assert all(peer.warm_hint.get(name) or peer.warm_hint_before[name] for name in fleet.machines)
+    # It goes on: machines that are gone are forgotten after two rounds.
+    fleet.gone(fleet.machines["vm-000000"], "deleted")
+    for _ in range(16):
+        peer.take_hint(fleet.hint())
+    assert "vm-000000" not in peer.warm_hint and "vm-000000" not in peer.warm_hint_before
+
+
+def test_a_hint_of_a_small_fleet_is_one_message(cluster):
+    fleet = fleet_of(cluster, 560, 9)
+    assert len(fleet.hint()["warm"]) == len(fleet.hint()["warm"]) == 560
