--- a/hookwall/jobs.py
+++ b/hookwall/jobs.py
@@ -354,6 +354,8 @@
             if job.spec is not None or not job.final():
                 job.void, job.parked, job.writing, job.dirty, job.fresh = True, None, False, False, False
                 job.revert_after_write = False
+                for start in job.active.values():
+                    start.stop_grace = None
 
     def revert(self) -> None:
         """Go back to what is stored, for all jobs with decisions that are not.
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -240,8 +240,10 @@
     def _on_ping(self, node: str, m: dict) -> dict:
         """A leader asks for support; a follower says that it is there."""
         token = m.get("tok")
-        if not isinstance(token, int) or token <= 0 or not self.promise.renew(node, token):
+        if not isinstance(token, int) or token <= 0:
             return {"ok": False}
+        if not self.promise.renew(node, token):
+            return {"ok": False, "replaced": self.promise.replaced(token)}
         self.leader_heard = self.clock()
         if m.get("hint") is not None:
             self.on_hint(m["hint"])
@@ -313,6 +315,10 @@
                 self.acks[peer.name] = max(sent, self.acks.get(peer.name, -1e9))
             elif isinstance(answer.get("top"), int) and answer["top"] > token:
                 self.step_down(f"{peer.name} knows a newer token")
+            elif answer.get("replaced") is True:
+                # It never supports this token again, so a new one is needed, if the key was not replaced after all.
+                self.step_down(f"{peer.name} has voted to replace this key")
+                self.next_try = self.clock()
 
     async def ping_loop(self) -> None:
         turn = 0
@@ -434,11 +440,8 @@
                 self._become(Role.LEADER, "the picture is rebuilt")
         except Conflict:
             log.debug("campaign: another node was faster")
-        except Refused as e:
+        except (Refused, Unknown) as e:
             log.debug("campaign: %s", e)
-        except Unknown as e:
-            log.debug("campaign: %s", e)
-            replaced = 0 if replaced == self.unresolved else replaced
         finally:
             if replaced:
                 self._keep_former_key(replaced)
@@ -495,7 +498,7 @@
                 await asyncio.sleep(DROP_AGAIN_S)
 
     def _keep_former_key(self, stamp: int) -> None:
-        """This candidate has not replaced the key, so its leader may be supported again."""
+        """This candidate has not replaced the key, so its leader may be supported again; unless it may have."""
         if stamp == self.unresolved:
             return
         self.promise.not_replaced(self.me, stamp)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -323,6 +323,17 @@
     assert job.active and job.unrecorded == {}
 
 
+def test_other_tasks_of_the_job_start(cluster):
+    cluster.beat("vm-1", THERE)
+    cluster.beat("vm-2")
+    job = cluster.submit(1, pieces=3)
+    cluster.beat("vm-1", THERE)
+    cluster.scheduler.round()
+    assert sorted(job.active) == [1, 2]
+    cluster.fleet.reset(6)
+    assert job.unrecorded == {}, "a new leadership believes its own reports only"
+
+
 def test_a_start_is_not_launched_while_another_machine_reports_the_task(cluster):
     cluster.beat("vm-2")
     job = cluster.submit(1)
@@ -376,6 +387,7 @@
     cluster.store()
     name = job.active[0].machine
     other.remove(0)
+    other.fresh = True
     for each in (job, other):
         cluster.table.apply(f"hookwall/job/{each.ref}", value, 90)
     assert not [o for n in ("vm-1", "vm-2") for o in cluster.beat(n)]
@@ -420,3 +432,14 @@
 def test_a_hint_of_a_small_fleet_is_one_message(cluster):
     fleet = fleet_of(cluster, 560, 9)
     assert len(fleet.hint()["warm"]) == len(fleet.hint()["warm"]) == 560
+
+
+def test_a_stop_of_an_earlier_leadership_is_void_with_its_other_decisions(cluster):
+    """What workers said of a start is kept, as it stays true; that it was to stop was never stored."""
+    job = started(cluster)
+    cluster.fleet.stop(job, job.active[0], 5.0, "room for another")
+    cluster.table.void_decisions()
+    cluster.table.apply(f"hookwall/job/{job.ref}", plain(job.record()), job.stamp)
+    cluster.fleet.reset(6)
+    assert job.active[0].stop_grace is None and job.active[0].phase == "running"
+    assert cluster.beat("vm-1", running(job), token=6) == []
--- a/tests/test_job_writer.py
+++ b/tests/test_job_writer.py
@@ -170,3 +170,23 @@
     state.commit = meanwhile
     write(leads)
     assert job.stamp == 12 and job.parked is None and job.final()
+
+
+def test_a_leader_reads_a_record_with_missing_parts_again_by_itself(leads, state):
+    """Nothing of the job is started before, so it must not wait for somebody to ask."""
+    read = []
+    leads.lead.valid = lambda: not read
+
+    async def refresh(key):
+        read.append(key)
+
+    async def run():
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await leads.run()
+
+    leads.refresh = refresh
+    leads.table.jobs["run-000002"].dirty = False
+    leads.table.parts.await_parts("run-000002", {}, 12)
+    asyncio.run(run())
+    assert read == [keys.JOBS + "run-000002"]
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -183,9 +183,10 @@
 @pytest.mark.parametrize("value", [{"packed": "no such text"}, {"machines": "vm-1"}, {}, None])
 def test_a_key_that_can_t_be_read_may_keep_any_machine(clock, value):
     """It was read as naming none, so leases that a follower kept counted as over."""
-    kept = Kept(clock)
+    kept, named = Kept(clock), []
+    kept.on_named = named.append
     kept.take("k", value, 5)
-    assert kept.kept("vm-1")
+    assert kept.kept("vm-1") and named == [None]
     clock.tick(1.0)
     kept.take("k", None, 0)
     assert not kept.kept("vm-1") and kept.heard("vm-1") == clock()
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -367,11 +367,28 @@
         await asyncio.sleep(0.01)
 
     asyncio.run(campaign())
+    assert [m["replaces"] for p in lead.peers for m in p.calls if m["t"] == "vote"] == [7, 7]
     assert unwritten(lead) == [7, 7]
     clock.tick(VOTE_S + 0.01)
     assert lead.promise.renew("n1", 7)
 
 
+def test_a_leader_that_a_voter_never_supports_again_takes_a_new_token(state, clock):
+    """The voter would count it as unheard for as long as it led with that token."""
+    lead = make(state, clock, [yes, yes])
+    asyncio.run(lead._campaign())
+    before = lead.token
+    lead.peers[0].answer = (
+        lambda message: {"ok": True, "top": 0}
+        if message.get("tok") != before
+        else {"ok": False, "top": 0, "replaced": True}
+    )
+    asyncio.run(lead._ping(lead.peers[0]))
+    assert lead.role is Role.FOLLOWER and lead._may_campaign()
+    asyncio.run(lead._campaign())
+    assert lead.role is Role.LEADER and lead.token > before
+
+
 def test_a_leader_whose_own_promise_is_with_another_node_is_not_valid(state, clock):
     """Its vote for itself had ended while the key was written; for up to a second two nodes were valid."""
     lead = make(state, clock, [yes, silent])
@@ -411,12 +428,21 @@
     assert promise.vote("n0", replaces=9)
 
 
+def test_a_restarted_voter_hears_that_a_key_proves_nothing(state, clock):
+    lead = make(state, clock, [yes, yes])
+    lead.promise.started = clock()
+    lead.saw_key({"node": "n1"}, 9)
+    assert not lead.handle({"t": "vote", "n": "n1", "replaces": 9, "dead": False})["ok"]
+    assert lead.handle({"t": "vote", "n": "n1"})["ok"], "older programs don't say"
+
+
 def test_a_vote_is_asked_with_what_it_replaces(state, clock):
     lead = make(state, clock, [yes, yes])
     clock.tick(PROMISE_S * 2)
     assert lead.handle({"t": "vote", "n": "n1", "replaces": 7})["ok"]
     clock.tick(VOTE_S + 0.01)
-    assert not lead.handle({"t": "ping", "n": "n2", "tok": 7})["ok"]
+    answer = lead.handle({"t": "ping", "n": "n2", "tok": 7})
+    assert not answer["ok"] and answer["replaced"]
     lead.handle({"t": "release", "n": "n1", "unwritten": 7})
     assert lead.handle({"t": "ping", "n": "n2", "tok": 7})["ok"]
 
@@ -434,3 +460,24 @@
     lead.promise.renew("n0", lead.token)
     asyncio.run(lead._ping(lead.peers[0]))
     assert lead.valid() and lapses == [clock()]
+
+
+def test_a_renewed_hold_or_own_promise_after_a_lapse_says_so_too(state, clock):
+    lead, lapses = make(state, clock, [yes, silent]), []
+    asyncio.run(lead._campaign())
+    lead.on_lapse = lambda: lapses.append(clock())
+    lead.hold_until = clock()
+    clock.tick(10.0)
+    lead.acks["n1"] = clock()
+    lead.promise.until = clock() + PROMISE_S
+    asyncio.run(lead._renew_hold(clock()))
+    assert lapses == [clock()] and lead.valid()
+    lead.promise.until = clock()
+
+    async def one_turn():
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.01):
+                await lead.ping_loop()
+
+    asyncio.run(one_turn())
+    assert lapses == [clock(), clock()] and lead.valid()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pytest
+from conftest import description
 
 from hookwall import keys
 from hookwall.leadership import Mode, Role
@@ -72,9 +73,14 @@
     async def scan(prefix):
         return [(keys.LEADER, {"node": "n0"}, 5)], 20_000
 
+    record = {"phase": "open", "n": 1, "next": 2, "on": [["vm-1", 1, 1, "0"]], "spec": description(1), "at": 1.0}
+    node.table.apply(keys.JOBS + "run-000001", {**record, "done": ""}, 8)
+    job = node.table.jobs["run-000001"]
+    node.fleet.drop(job, job.active[0], "the lease is over")
     node.store.scan = scan
     asyncio.run(node._read_all())
     assert node.fleet.kept.heard("vm-1") == clock()
+    assert job.active[0].machine == "vm-1" and not job.dirty, "what was decided meanwhile is void"
 
 
 def test_leases_count_from_when_a_leader_is_valid_without_interruption(node, clock):
