Leadership, jobs and fleet in smaller modules: campaign, handover, leader_key, roles, job, part_table, hints

Taking over, giving way, and what is known of the leader key are modules of their own; so are one job, parts of records, and the hints to the next leader. Numbers in handover and campaign have names.

--- a/hookwall/cancellations.py
+++ b/hookwall/cancellations.py
@@ -26,7 +26,8 @@
 
 from hookwall import keys
 from hookwall.clocks import DRIFT
-from hookwall.leadership import Leadership, Mode
+from hookwall.leadership import Leadership
+from hookwall.roles import Mode
 from hookwall.settings import Workers
 from hookwall.store import Conflict, Refused, Store, Unknown
 
@@ -151,14 +152,14 @@
         lead = self.lead
         if lead.valid() or lead.majority == 1:
             return True
-        if lead.key_stamp and lead.key_mode is Mode.HOLD and await self._key_unchanged():
+        if lead.key.stamp and lead.key.mode is Mode.HOLD and await self._key_unchanged():
             return True
-        return await self._tell(ref, stamp) or (not lead.key_stamp and await self._key_unchanged())
+        return await self._tell(ref, stamp) or (not lead.key.stamp and await self._key_unchanged())
 
     async def _key_unchanged(self) -> bool:
         """Whether the leader key is still as it is known here, seen after the cancellation was stored."""
         try:
-            await self.store.commit([(keys.LEADER, self.lead.key_stamp)], timeout=SPREAD_S)
+            await self.store.commit([(keys.LEADER, self.lead.key.stamp)], timeout=SPREAD_S)
         except (Conflict, Refused, Unknown):
             return False
         return True
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -16,7 +16,9 @@
 
 from hookwall import wire
 from hookwall.clocks import DRIFT
-from hookwall.jobs import OPEN, WITHDRAWN, Active, Job, JobTable
+from hookwall.hints import Hints
+from hookwall.job import OPEN, WITHDRAWN, Active, Job
+from hookwall.jobs import JobTable
 from hookwall.kept import Kept
 from hookwall.machine import USABLE, Machine, Names, Phase
 from hookwall.placement import NOWHERE, Room
@@ -28,7 +30,6 @@
 LEASE_MARGIN_S = 0.5
 MOST_ORDERS = 300
 STOP_AGAIN_S = 1.5
-HINT_IMAGES = 6000  # in one message, of 256 KiB at most
 UNANSWERED_S = 4.5  # a worker without an answer waits 4 s for it and reports, elsewhere, a second later
 
 
@@ -53,11 +54,7 @@
         self.kept = Kept(clock)
         self.lease_ended: set[str] = set()  # machines whose starts were dropped since no node can have answered them
         self.wake: Callable[[], None] = lambda: None
-        self.hint_next = 0  # the index of the machine with which the next hint begins
-        self.warm_hint: dict[str, list[tuple[str, float]]] = {}  # as told since the leader began with the first
-        self.warm_hint_before: dict[str, list[tuple[str, float]]] = {}  # the time before
-        self.rate_hint: tuple[float, float] | None = None
-        self.rate_now: tuple[float, float] = (0.0, 0.0)
+        self.hints = Hints(self.by_index, self.images)
         lease = params.workers.lease_s
         self.lease_gone = lease * (1 + DRIFT) + LEASE_MARGIN_S
 
@@ -263,7 +260,8 @@
             return None
         if m.phase is Phase.BOOTING:
             m.up_at = now
-            self._warm_from_hint(m)
+            m.room = None
+            self.hints.recall(m)
             self.become(m, Phase.UP, f"reports after {now - m.known_at:.1f} s")
         self._listen(m, b, now)
         if b.tenure > m.tenure:
@@ -490,44 +488,3 @@
             and now >= m.full_until
             and self.info(m.type) is not None
         )
-
-    # -- what the peers keep for the next leader ------------------------------------------------
-
-    def hint(self) -> dict:
-        """Which images each machine has and how fast jobs arrived. Never a matter of rules.
-
-        A message has a size limit, so a large fleet is told over several, each going on where the last one stopped.
-        """
-        names = self.images.names
-        start = self.hint_next if self.hint_next < len(self.by_index) else 0
-        warm: dict[str, list[tuple[str, float]]] = {}
-        images, index = 0, start
-        while index < len(self.by_index) and images < HINT_IMAGES:
-            m = self.by_index[index]
-            index += 1
-            if m.images and m.phase is not Phase.GONE:
-                warm[m.name] = [(names[i], gb) for i, gb in m.images.items()]
-                images += 1 + len(m.images)
-        self.hint_next = index
-        return {"warm": warm, "rate": self.rate_now, "first": start == 0}
-
-    def take_hint(self, hint: object) -> None:
-        """A peer leads and says what this node would want to know if it led next."""
-        if not isinstance(hint, dict):
-            return
-        warm, rate = hint.get("warm"), hint.get("rate")
-        if isinstance(warm, dict):
-            if hint.get("first") is not False:
-                self.warm_hint_before, self.warm_hint = self.warm_hint, {}
-            self.warm_hint.update(warm)
-        if isinstance(rate, list | tuple) and len(rate) == 2 and all(isinstance(n, float | int) for n in rate):
-            self.rate_hint = (float(rate[0]), float(rate[1]))
-
-    def _warm_from_hint(self, m: Machine) -> None:
-        m.room = None
-        for item in self.warm_hint.get(m.name) or self.warm_hint_before.get(m.name, ()):
-            try:
-                name, gb = item
-                m.images[self.images.of(str(name))] = float(gb)
-            except (TypeError, ValueError):
-                return
--- /dev/null
+++ b/hookwall/handover.py
@@ -0,0 +1,102 @@
+"""How a leader gives way where another node could lead better."""
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from hookwall.promise import PROMISE_S
+from hookwall.roles import Mode
+from hookwall.store import Refused, Unknown
+
+if TYPE_CHECKING:
+    from hookwall.leadership import Leadership
+
+log = logging.getLogger("hookwall.handover")
+
+LONELY_S = 3.0  # so long without a majority, a leader gives way to those who may have one
+FIT_S = 0.25  # so recently the state service must have answered a node that is to take over
+FIT_WAIT_S = 0.5  # for a peer to say whether it is fit
+ASK_AGAIN_S = 0.1
+RECENT_S = 1.6  # what a peer said so long ago still counts
+REFUSED_S = 2.5  # so long refused by the state service, a leader looks for one that is not
+NO_REPORT_S = 4.0  # so long without a report, it looks for one that workers reach
+MAJORITY_BACK_S = 5.0  # so long a majority answers before a leader in hold mode gives the key back
+RESIGNED_S = 4.0  # pause before the next campaign
+
+
+class Handover:
+    """One leader's reasons to stop leading."""
+
+    def __init__(self, lead: "Leadership") -> None:
+        self.lead = lead
+        self.with_majority_since: float | None = None  # in hold mode
+
+    async def look_after(self, now: float, machines_expected: bool) -> None:
+        """Give way where another node could lead better."""
+        lead = self.lead
+        majority = lead.promised_until() - now > PROMISE_S - LONELY_S
+        if lead.mode is Mode.PROMISE and not majority and now - lead.since > LONELY_S:
+            if lead.store.fresh():
+                await self._give_up_key("no majority answers", pause=1.0)
+            return
+        if lead.mode is Mode.HOLD:
+            await self._look_after_hold(now, majority)
+            return
+        bad = lead.store.bad_since
+        if bad is not None and now - bad > REFUSED_S:
+            fit = await self._fit([n for n, t in lead.peer_state_ok.items() if now - t < RECENT_S])
+            if fit and lead.store.bad_since is not None:
+                await self.resign(min(fit), "only this node lacks the state service")
+                return
+        if machines_expected and now - lead.last_beat > NO_REPORT_S and now - lead.since > NO_REPORT_S:
+            fit = [n for n, (t, k) in lead.peer_beats.items() if now - t < RECENT_S and k > 0]
+            if fit:
+                await self.resign(min(fit), "no worker reaches this node")
+
+    async def _look_after_hold(self, now: float, majority: bool) -> None:
+        """In hold mode: the key goes back once a majority answers again."""
+        if not majority:
+            self.with_majority_since = None
+        elif self.with_majority_since is None:
+            self.with_majority_since = now
+        elif now - self.with_majority_since > MAJORITY_BACK_S:
+            await self._give_up_key("a majority answers again", pause=0.0)
+
+    async def resign(self, to: str, why: str) -> None:
+        """Stop commanding first, then say so, so that the successor need not wait for a promise."""
+        lead = self.lead
+        lead.step_down(f"resigns: {why}")
+        lead.next_try = lead.clock() + RESIGNED_S
+        message = {"t": "release", "n": lead.me, "tok": lead.token, "resign": to}
+        for p in lead.peers:
+            lead.later(p.call(message))
+
+    async def _fit(self, names: list[str]) -> list[str]:
+        """Those of the peers whom the state service answers at this moment: they are made to ask it.
+
+        What they last said may be a second old. A leader that was refused alone resigned to a peer just
+        when the service was down for everybody, so nobody led and all leases ended in the outage.
+        """
+        peers = [p for p in self.lead.peers if p.name in names]
+        fit: list[str] = []
+        message = {"t": "fit", "n": self.lead.me}
+        for _ in range(2):  # the first makes them ask, the second tells what came of it
+            answers = await asyncio.gather(*(p.call(message, timeout=FIT_WAIT_S) for p in peers))
+            ages = {p.name: a.get("age") for p, a in zip(peers, answers, strict=True) if a is not None}
+            fit = [n for n, age in ages.items() if isinstance(age, float | int) and age < FIT_S]
+            if fit or not peers:
+                break
+            await asyncio.sleep(ASK_AGAIN_S)
+        return fit
+
+    async def _give_up_key(self, why: str, pause: float) -> None:
+        """Stop commanding, then remove the key, so that whoever can lead need not wait."""
+        lead = self.lead
+        hold = lead.hold
+        lead.step_down(why)
+        lead.next_try = lead.clock() + pause
+        if hold is not None:
+            try:
+                await lead.store.drop(hold)
+            except (Refused, Unknown) as e:
+                log.debug("could not drop the hold: %s", e)
--- a/hookwall/image_affinity.py
+++ b/hookwall/image_affinity.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from hookwall.fleet import Fleet
-from hookwall.jobs import Job
+from hookwall.job import Job
 from hookwall.placement import EPS, Ask, Room, allowed, units
 from hookwall.round_state import QueuedJob, RoundState
 
--- a/hookwall/job_writer.py
+++ b/hookwall/job_writer.py
@@ -11,10 +11,12 @@
 from dataclasses import dataclass
 
 from hookwall import keys, records
-from hookwall.jobs import OPEN, Job, JobTable, write_order
+from hookwall.job import OPEN, Job, write_order
+from hookwall.jobs import JobTable
 from hookwall.kept import Kept
-from hookwall.leadership import Leadership, Role
+from hookwall.leadership import Leadership
 from hookwall.records import Encoded, RecordTooLarge
+from hookwall.roles import Role
 from hookwall.store import Conflict, Refused, Store, TooLarge, Unknown
 
 log = logging.getLogger("hookwall.job_writer")
--- a/hookwall/keeper.py
+++ b/hookwall/keeper.py
@@ -16,7 +16,8 @@
 from hookwall import keys, records, wire
 from hookwall.clocks import DRIFT, SLACK_S
 from hookwall.jobs import JobTable
-from hookwall.leadership import Leadership, Mode, Role
+from hookwall.leadership import Leadership
+from hookwall.roles import Mode, Role
 from hookwall.store import Conflict, Refused, Store, Unknown
 from hookwall.wire import Beat, Order
 
@@ -66,9 +67,9 @@
         lead = self.lead
         return (
             lead.role in (Role.FOLLOWER, Role.CANDIDATE)  # cut off, it campaigns in vain all the time
-            and lead.key_stamp > 0
-            and lead.key_node != lead.me
-            and b.token <= lead.key_stamp
+            and lead.key.stamp > 0
+            and lead.key.node != lead.me
+            and b.token <= lead.key.stamp
             and bool(b.tasks)
             and self.store.fresh()
             and self.may_renew()
@@ -78,7 +79,7 @@
 
     def valid(self, machine: str) -> bool:
         """Whether an answer to this machine is covered by what is stored."""
-        return machine in self.kept and self.token == self.lead.key_stamp and self.clock() < self.until
+        return machine in self.kept and self.token == self.lead.key.stamp and self.clock() < self.until
 
     def sends(self, b: Beat) -> str | None:
         """The leader to whom a worker with a fresh lease goes now, or None.
@@ -88,15 +89,15 @@
         filter did, and the leader had 85 machines of 419. One that finds no leader there comes back.
         """
         lead, now = self.lead, self.clock()
-        if lead.key_mode is not Mode.HOLD or not self.valid(b.machine):
+        if lead.key.mode is not Mode.HOLD or not self.valid(b.machine):
             return None
-        if self.unmet[b.machine] >= lead.key_stamp or now - self.sent.get(b.machine, -1e9) < SEND_EVERY_S:
+        if self.unmet[b.machine] >= lead.key.stamp or now - self.sent.get(b.machine, -1e9) < SEND_EVERY_S:
             return None
         self.sent[b.machine] = now
         self.kept.discard(b.machine)
         self.away.add(b.machine)
         self.shrunk = True
-        return lead.key_node
+        return lead.key.node
 
     async def keep(self, b: Beat) -> list[Order] | None:
         """The answer's commands, or None if the worker can't be kept."""
@@ -119,10 +120,10 @@
     async def _write(self, shrink: bool = False) -> None:
         """Store which machines are kept, under the leader's stamp."""
         async with self.lock:
-            current = self.token == self.lead.key_stamp and self.clock() < self.until
+            current = self.token == self.lead.key.stamp and self.clock() < self.until
             if self.wanted <= self.kept and current and not shrink:
                 return
-            token = self.lead.key_stamp
+            token = self.lead.key.stamp
             self.away.clear()
             kept = self.kept if token == self.token else set()
             names = [*sorted(kept), *sorted(self.wanted - kept)]
@@ -149,7 +150,7 @@
                 self.kept, self.until, self.stamp = set(), -1e9, None
                 return
             if not self.kept:
-                log.info("keeps the leases of workers that lost %s", self.lead.key_node)
+                log.info("keeps the leases of workers that lost %s", self.lead.key.node)
             self.token, self.stamp, self.hold = token, stamp, hold
             self.until = sent + HOLD_S * (1 - DRIFT) - SLACK_S
             # Who was sent away while this was written stays away.
@@ -197,7 +198,7 @@
                 continue
             lead, now = self.lead, self.clock()
             heard = now - lead.leader_heard < UNHEARD_S
-            if lead.role.leads() or lead.key_stamp != self.token:
+            if lead.role.leads() or lead.key.stamp != self.token:
                 await self._stop("another leader")
                 continue
             if heard or now >= self.until:
--- a/hookwall/machine.py
+++ b/hookwall/machine.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from enum import Enum
 
-from hookwall.jobs import Active, Job
+from hookwall.job import Active, Job
 from hookwall.placement import Room
 
 
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -14,12 +14,14 @@
 from hookwall.confirmer import Confirmer
 from hookwall.fleet import Fleet
 from hookwall.formats import FormatGate
+from hookwall.job import Active, Job
 from hookwall.job_writer import JobWriter
-from hookwall.jobs import Active, Job, JobTable
+from hookwall.jobs import JobTable
 from hookwall.keeper import Keeper
-from hookwall.leadership import Leadership, Role
+from hookwall.leadership import Leadership
 from hookwall.peers import Peer
 from hookwall.renting import Renting
+from hookwall.roles import Role
 from hookwall.scheduler import Scheduler
 from hookwall.settings import Settings, address
 from hookwall.store import Conflict, Refused, Store, TooOld, Unknown
@@ -85,8 +87,8 @@
         self.leadership.on_lapse = self.fleet.begin_again
         self.table.on_withdrawn = self._withdrawn
         self.api.confirmed = self.cancellations.confirmed
-        self.leadership.hint = self.fleet.hint
-        self.leadership.on_hint = self.fleet.take_hint
+        self.leadership.hint = self.fleet.hints.tell
+        self.leadership.on_hint = self.fleet.hints.take
         self.table.on_taken = self._taken
         self.fleet.kept.on_named = self._leases_kept
         self.loaded = False
--- a/hookwall/preemption.py
+++ b/hookwall/preemption.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 
 from hookwall.fleet import Fleet
-from hookwall.jobs import OPEN, Active, Job
+from hookwall.job import OPEN, Active, Job
 from hookwall.placement import Ask, Room, allowed, units
 from hookwall.round_state import RoundState, StopOption, Usage
 from hookwall.settings import Team
--- a/hookwall/renting.py
+++ b/hookwall/renting.py
@@ -14,7 +14,7 @@
 from hookwall import wire
 from hookwall.cloud_client import CloudClient, NoCapacity, Trouble
 from hookwall.fleet import Fleet
-from hookwall.jobs import OPEN, Job
+from hookwall.job import OPEN, Job
 from hookwall.machine import Machine, Phase
 from hookwall.placement import EPS, Ask, Room, allowed, units
 from hookwall.scheduler import Scheduler, needy
@@ -277,9 +277,9 @@
         horizon = 0.0
         decay = math.exp(-min(10.0, max(0.0, now - self.measured_at)) / SMOOTH_S)
         self.measured_at = now
-        if self.unmeasured and self.fleet.rate_hint is not None:
+        if self.unmeasured and self.fleet.hints.rate_told is not None:
             # A new leader goes on from what the last one measured.
-            self.rate_solid, self.rate_other = self.fleet.rate_hint
+            self.rate_solid, self.rate_other = self.fleet.hints.rate_told
         self.rate_solid *= decay
         self.rate_other *= decay
         for job in self.fleet.table.open.values():
@@ -303,7 +303,7 @@
                     self.rate_solid += n / SMOOTH_S
         self.unmeasured = False
         self.need_solid, self.need_other = solid, other
-        self.fleet.rate_now = (self.rate_solid, self.rate_other)
+        self.fleet.hints.rate_now = (self.rate_solid, self.rate_other)
         if solid or other:
             self.busy_at = now
         elif now - self.busy_at > QUIET_S:
--- a/hookwall/reservations.py
+++ b/hookwall/reservations.py
@@ -7,7 +7,8 @@
 
 from hookwall.fleet import Fleet
 from hookwall.image_affinity import ImageAffinity
-from hookwall.jobs import OPEN, Job, JobTable
+from hookwall.job import OPEN, Job
+from hookwall.jobs import JobTable
 from hookwall.placement import Ask, Room, units
 from hookwall.preemption import Preemption
 from hookwall.round_state import QueuedJob, RoundState
--- a/hookwall/round_state.py
+++ b/hookwall/round_state.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from hookwall.jobs import Active, Job
+from hookwall.job import Active, Job
 from hookwall.placement import Ask, Room, allowed
 
 
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -11,7 +11,8 @@
 
 from hookwall.fleet import Fleet
 from hookwall.image_affinity import STARVES_S, WARM_GAIN_S, ImageAffinity
-from hookwall.jobs import DONE, OPEN, Job, JobTable
+from hookwall.job import DONE, OPEN, Job
+from hookwall.jobs import JobTable
 from hookwall.placement import EPS, Ask, Room, place
 from hookwall.preemption import Preemption
 from hookwall.records import plain_starts_bytes
--- a/hookwall/user_api.py
+++ b/hookwall/user_api.py
@@ -10,7 +10,8 @@
 
 from hookwall import keys, records, wire
 from hookwall.confirmer import Confirmer
-from hookwall.jobs import DONE, OPEN, WITHDRAWN, Job, JobTable
+from hookwall.job import DONE, OPEN, WITHDRAWN, Job
+from hookwall.jobs import JobTable
 from hookwall.records import Encoded, JobRecord, MalformedRecord, MissingParts, RecordTooLarge
 from hookwall.settings import Params
 from hookwall.store import Conflict, Refused, Store, Unknown
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -7,8 +7,9 @@
 from hookwall import cancellations as cn
 from hookwall import keys
 from hookwall.cancellations import Cancellations
-from hookwall.leadership import Leadership, Mode, Role
+from hookwall.leadership import Leadership
 from hookwall.promise import PROMISE_S
+from hookwall.roles import Mode, Role
 
 
 class Peers:
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -11,7 +11,8 @@
 from hookwall import keys, records, wire
 from hookwall.jobs import JobTable
 from hookwall.kept import Kept, _machines
-from hookwall.leadership import Leadership, Mode
+from hookwall.leadership import Leadership
+from hookwall.roles import Mode
 
 GOLDEN = json.loads((Path(__file__).parent / "golden" / "production.json").read_text(encoding="utf-8"))
 
@@ -69,7 +70,7 @@
 def test_the_keys_of_leader_keepers_and_catalog_are_read(clock, state):
     lead = Leadership("n1", 3, [], state, clock, None, lambda role: None)
     lead.saw_key(GOLDEN["leader_key"], 9)
-    assert (lead.key_node, lead.key_stamp, lead.key_mode) == ("n0", 9, Mode.PROMISE)
+    assert (lead.key.node, lead.key.stamp, lead.key.mode) == ("n0", 9, Mode.PROMISE)
     kept = Kept(clock)
     kept.take(keys.KEEP + "n0", GOLDEN["keep"], 3)
     assert kept.kept("vm-000231") and kept.kept("vm-000300")
@@ -103,7 +104,7 @@
         name = "n1"
 
     for answer in GOLDEN["answers"].values():
-        lead._note(Peer, answer)
+        lead.note_answer(Peer, answer)
     assert lead.peer_want["n1"][1] == [2.0, 0.5] and all("format" not in m for m in told)
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,7 +4,7 @@
 import pytest
 
 from hookwall.fleet import Fleet
-from hookwall.jobs import write_order
+from hookwall.job import write_order
 from hookwall.peers import MAX_FRAME, frame
 from hookwall.records import plain
 
@@ -415,23 +415,23 @@
     peer = Fleet(params, cluster.table, clock)
     told = 0
     for _ in range(8):
-        hint = fleet.hint()
+        hint = fleet.hints.tell()
         message = frame({"t": "ping", "hint": hint, "cancelled": []})
         assert len(message) < MAX_FRAME
         told += len(hint["warm"])
-        peer.take_hint(cbor2.loads(message[4:])["hint"])
+        peer.hints.take(cbor2.loads(message[4:])["hint"])
     assert told == 4000
-    assert all(peer.warm_hint.get(name) or peer.warm_hint_before[name] for name in fleet.machines)
+    assert all(peer.hints.told.get(name) or peer.hints.told_before[name] for name in fleet.machines)
     # It goes on: machines that are gone are forgotten after two rounds.
     fleet.gone(fleet.machines["vm-000000"], "deleted")
     for _ in range(16):
-        peer.take_hint(fleet.hint())
-    assert "vm-000000" not in peer.warm_hint and "vm-000000" not in peer.warm_hint_before
+        peer.hints.take(fleet.hints.tell())
+    assert "vm-000000" not in peer.hints.told and "vm-000000" not in peer.hints.told_before
 
 
 def test_a_hint_of_a_small_fleet_is_one_message(cluster):
     fleet = fleet_of(cluster, 560, 9)
-    assert len(fleet.hint()["warm"]) == len(fleet.hint()["warm"]) == 560
+    assert len(fleet.hints.tell()["warm"]) == len(fleet.hints.tell()["warm"]) == 560
 
 
 def test_a_stop_of_an_earlier_leadership_is_void_with_its_other_decisions(cluster):
--- a/tests/test_job_writer.py
+++ b/tests/test_job_writer.py
@@ -8,11 +8,12 @@
 from conftest import description
 
 from hookwall import keys
+from hookwall.job import Active
 from hookwall.job_writer import JobWriter
-from hookwall.jobs import Active, JobTable
+from hookwall.jobs import JobTable
 from hookwall.kept import Kept
-from hookwall.leadership import Role
 from hookwall.records import JobRecord, encode
+from hookwall.roles import Role
 from hookwall.store import Conflict
 from hookwall.wire import JobSpec
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -9,7 +9,8 @@
 
 from hookwall import keys
 from hookwall.confirmer import Confirmer
-from hookwall.jobs import JobTable, write_order
+from hookwall.job import write_order
+from hookwall.jobs import JobTable
 from hookwall.records import JobRecord, encode, pack_numbers, plain, unpack_numbers
 from hookwall.user_api import UserApi
 from hookwall.wire import JobSpec
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -5,8 +5,11 @@
 import pytest
 
 from hookwall import keys
-from hookwall.leadership import ALONE_S, LONELY_S, SHORT_HOLD_S, Leadership, Mode, Role
+from hookwall.campaign import ALONE_S, SHORT_HOLD_S
+from hookwall.handover import LONELY_S
+from hookwall.leadership import Leadership
 from hookwall.promise import PROMISE_S, VOTE_S, Promise
+from hookwall.roles import Mode, Role
 from hookwall.store import KeyState, Refused
 
 
@@ -97,14 +100,14 @@
 
 def test_a_candidate_needs_a_majority(state, clock):
     lead = make(state, clock, [no, silent])
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     assert lead.role is Role.FOLLOWER and keys.LEADER not in state.keys
 
 
 def test_the_token_is_the_stamp_of_the_leader_key(state, clock):
     state.epoch = 40
     lead = make(state, clock, [yes, silent])
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     assert lead.role is Role.LEADER and lead.valid()
     assert lead.token == state.keys[keys.LEADER][1] == 41
 
@@ -119,7 +122,7 @@
         lead = make(state, clock, [yes])
         lead.peers.insert(0, StandsStill("n2", None))
         async with asyncio.timeout(0.5):
-            await lead._campaign()
+            await lead.campaign.run()
         await asyncio.sleep(0)
         return lead
 
@@ -129,7 +132,7 @@
 
 def test_a_leader_without_a_majority_falls_silent_before_the_promises_end(state, clock):
     lead = make(state, clock, [yes, silent])
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     clock.tick(PROMISE_S * 0.98)
     assert lead.valid()
     clock.tick(PROMISE_S * 0.02)
@@ -142,16 +145,16 @@
         return yes(message)
 
     lead = make(state, clock, [yes, silent])
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     before = clock()
     lead.peers[0].answer = slow
-    asyncio.run(lead._ping(lead.peers[0]))
+    asyncio.run(lead.ping(lead.peers[0]))
     assert lead.acks["n1"] == before
 
 
 def test_a_leader_whose_key_was_replaced_steps_down(state, clock):
     lead = make(state, clock, [yes, yes])
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     lead.saw_key({"node": "n2"}, lead.token + 5)
     assert lead.role is Role.FOLLOWER and not lead.valid()
 
@@ -164,7 +167,7 @@
         return yes(message)
 
     lead = make(state, clock, [racer, yes])
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     assert lead.role is Role.FOLLOWER
 
 
@@ -174,18 +177,18 @@
     lead = make(state, clock, [yes, yes])
     lead.promise.started = clock()
     lead.saw_key({"node": "n0"}, 3)
-    assert lead._may_campaign()
+    assert lead.campaign.may_begin()
     lead.saw_key({"node": "n1"}, 4)
-    assert not lead._may_campaign()
+    assert not lead.campaign.may_begin()
 
 
 def test_nodes_that_do_not_reach_each_other_are_led_by_the_hold_alone(state, clock):
     """A packet filter between the nodes left everything else working, and nobody led for a whole day."""
     lead = make(state, clock, [silent, silent])
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     assert lead.role is Role.FOLLOWER, "those who may reach each other come first"
     clock.tick(ALONE_S + 1)
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     assert lead.role is Role.LEADER and lead.mode is Mode.HOLD and lead.valid()
     clock.tick(SHORT_HOLD_S)
     assert not lead.valid()
@@ -194,7 +197,7 @@
 def test_a_peer_that_answers_prevents_leading_alone(state, clock):
     lead = make(state, clock, [no, silent])
     clock.tick(60.0)
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     assert lead.role is Role.FOLLOWER
 
 
@@ -204,18 +207,18 @@
     lead = make(state, clock, [yes, yes])
     lead.saw_key(*state.keys[keys.LEADER])
     clock.tick(60.0)
-    assert not lead._may_campaign()
+    assert not lead.campaign.may_begin()
     # Also when this node had only known of an older key.
     lead.saw_key({"node": "n2"}, 9)
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     assert lead.role is Role.FOLLOWER and state.keys[keys.LEADER][1] == 9
 
 
 def test_a_leader_without_majority_removes_its_key(state, clock):
     lead = make(state, clock, [yes, silent])
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     clock.tick(LONELY_S + 0.5)
-    asyncio.run(lead._look_after(clock(), True))
+    asyncio.run(lead.handover.look_after(clock(), True))
     assert lead.role is Role.FOLLOWER and keys.LEADER not in state.keys
 
 
@@ -224,21 +227,21 @@
         return {"ok": True, "sok": False, "top": 0}
 
     lead = make(state, clock, [yes, yes])
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     for p in lead.peers:
         p.answer = deaf
     state.mode, state.bad_since = "down", clock()
     for _ in range(4):
         clock.tick(1.0)
-        asyncio.run(lead._ping(lead.peers[0]))
-        asyncio.run(lead._ping(lead.peers[1]))
-        asyncio.run(lead._look_after(clock(), False))
+        asyncio.run(lead.ping(lead.peers[0]))
+        asyncio.run(lead.ping(lead.peers[1]))
+        asyncio.run(lead.handover.look_after(clock(), False))
     assert lead.valid()
 
 
 def test_a_leader_refuses_to_vote(state, clock):
     lead = make(state, clock, [yes, yes])
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     assert not lead.handle({"t": "vote", "n": "n1"})["ok"]
 
 
@@ -255,11 +258,11 @@
     lead = make(state, clock, [yes, yes])
     lead.saw_key({"node": "n1"}, 12)
     lead.saw_key({}, 0, 11)
-    assert lead.key_stamp == 12 and not lead._unfenced()
+    assert lead.key.stamp == 12 and not lead.key.unfenced(lead.me)
     lead.saw_key({}, 0, 13)
-    assert lead.key_stamp == 0 and lead._unfenced()
+    assert lead.key.stamp == 0 and lead.key.unfenced(lead.me)
     lead.saw_key({"node": "n0"}, 12)
-    assert lead.key_stamp == 0, "nor does a late answer undo that the key is gone"
+    assert lead.key.stamp == 0, "nor does a late answer undo that the key is gone"
 
 
 def test_a_probe_that_is_answered_late_does_not_undo_a_newer_key(state, clock):
@@ -280,7 +283,7 @@
                 await lead.probe_loop()
 
     asyncio.run(probe())
-    assert lead.key_stamp == 12
+    assert lead.key.stamp == 12
 
 
 # -- votes and promises while a key is replaced -------------------------------------------------------
@@ -332,7 +335,7 @@
     state.commit = unanswered
 
     async def campaign():
-        await lead._campaign()
+        await lead.campaign.run()
         await asyncio.sleep(0.01)
 
     asyncio.run(campaign())
@@ -344,7 +347,7 @@
     state.commit, state.mode = refused, "ok"
     lead.next_try = 0.0
     state.keys[keys.LEADER] = ({"node": "n1"}, 7)
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     assert unwritten(lead) == [] and not lead.promise.renew("n1", 7)
 
 
@@ -363,7 +366,7 @@
     state.commit = refused
 
     async def campaign():
-        await lead._campaign()
+        await lead.campaign.run()
         await asyncio.sleep(0.01)
 
     asyncio.run(campaign())
@@ -376,23 +379,23 @@
 def test_a_leader_that_a_voter_never_supports_again_takes_a_new_token(state, clock):
     """The voter would count it as unheard for as long as it led with that token."""
     lead = make(state, clock, [yes, yes])
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     before = lead.token
     lead.peers[0].answer = (
         lambda message: {"ok": True, "top": 0}
         if message.get("tok") != before
         else {"ok": False, "top": 0, "replaced": True}
     )
-    asyncio.run(lead._ping(lead.peers[0]))
-    assert lead.role is Role.FOLLOWER and lead._may_campaign()
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.ping(lead.peers[0]))
+    assert lead.role is Role.FOLLOWER and lead.campaign.may_begin()
+    asyncio.run(lead.campaign.run())
     assert lead.role is Role.LEADER and lead.token > before
 
 
 def test_a_leader_whose_own_promise_is_with_another_node_is_not_valid(state, clock):
     """Its vote for itself had ended while the key was written; for up to a second two nodes were valid."""
     lead = make(state, clock, [yes, silent])
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     assert lead.valid()
     lead.promise.holder = "n1"
     assert not lead.valid()
@@ -400,7 +403,7 @@
 
 def test_a_leader_whose_own_promise_has_ended_is_not_valid(state, clock):
     lead = make(state, clock, [yes, silent])
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     lead.promise.until = clock()
     assert not lead.valid()
 
@@ -411,13 +414,13 @@
     state.epoch = 9
     state.keys[keys.LEADER] = ({"node": "n0", "incarnation": lead.incarnation}, 9)
     clock.tick(60.0)
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     assert lead.role is Role.FOLLOWER and state.keys[keys.LEADER][1] == 9
     assert all(m["dead"] is False for p in lead.peers for m in p.calls if m["t"] == "vote")
     # An earlier process's key does.
     state.keys[keys.LEADER] = ({"node": "n0", "incarnation": lead.incarnation + 1}, 9)
     lead.next_try = 0.0
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     assert lead.role is Role.LEADER and lead.mode is Mode.HOLD
 
 
@@ -450,21 +453,21 @@
 def test_a_leader_that_was_not_valid_for_a_while_says_so(state, clock):
     """Another node may have answered workers meanwhile, so their leases count from when it is valid again."""
     lead, lapses = make(state, clock, [yes, silent]), []
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     lead.on_lapse = lambda: lapses.append(clock())
     clock.tick(PROMISE_S * 0.9)
     lead.promise.renew("n0", lead.token)
-    asyncio.run(lead._ping(lead.peers[0]))
+    asyncio.run(lead.ping(lead.peers[0]))
     assert lead.valid() and lapses == []
     clock.tick(PROMISE_S)
     lead.promise.renew("n0", lead.token)
-    asyncio.run(lead._ping(lead.peers[0]))
+    asyncio.run(lead.ping(lead.peers[0]))
     assert lead.valid() and lapses == [clock()]
 
 
 def test_a_renewed_hold_or_own_promise_after_a_lapse_says_so_too(state, clock):
     lead, lapses = make(state, clock, [yes, silent]), []
-    asyncio.run(lead._campaign())
+    asyncio.run(lead.campaign.run())
     lead.on_lapse = lambda: lapses.append(clock())
     lead.hold_until = clock()
     clock.tick(10.0)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,9 +7,9 @@
 from conftest import description
 
 from hookwall import keys
-from hookwall.leadership import Mode, Role
 from hookwall.node import Node
 from hookwall.promise import PROMISE_S
+from hookwall.roles import Mode, Role
 from hookwall.settings import External, Seed, Settings
 
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -7,7 +7,7 @@
 from conftest import description
 
 from hookwall import keys, records, wire
-from hookwall.jobs import PartTable
+from hookwall.part_table import PartTable
 from hookwall.records import JobRecord, MalformedRecord, MissingParts, RecordTooLarge
 
 REF = "run-000001"
--- a/tests/test_renting.py
+++ b/tests/test_renting.py
@@ -6,7 +6,7 @@
 
 from hookwall import wire
 from hookwall.cloud_client import NoCapacity, Trouble
-from hookwall.jobs import WITHDRAWN
+from hookwall.job import WITHDRAWN
 from hookwall.machine import Phase
 from hookwall.renting import Renting
 
