A candidate's word that it wrote nothing counts for its own campaign only

The word may come late, when the voter has voted in the candidate's next campaign, whose write may still be carried out. Campaigns have numbers, which votes and that word carry. Test in test_leadership (failed before).

--- a/hookwall/campaign.py
+++ b/hookwall/campaign.py
@@ -18,6 +18,7 @@
 LONG_HOLD_S = 60.0
 SHORT_HOLD_S = 8.0
 VOTE_WAIT_S = 0.7  # for the answer of one peer
+NUMBER_BITS = 48
 DROP_AGAIN_S = 0.5
 ALONE_S = 2.0  # so long without a leader key, a node leads without a majority
 
@@ -32,6 +33,7 @@
 
     def __init__(self, lead: "Leadership") -> None:
         self.lead = lead
+        self.number = 0  # of the campaign under way, unlike that of any other
         self.unresolved = 0  # stamp of the key that a write of this process, without an answer, may yet replace
         self.unresolved_holds: set[int] = set()  # of such writes: once they have ended, those can't happen any more
 
@@ -51,12 +53,13 @@
         lead = self.lead
         lead.become(Role.CANDIDATE, "no valid leader is known")
         won = False
+        self.number = random.SystemRandom().getrandbits(NUMBER_BITS)
         replaced = 0  # the key that voters must not support any more, unless it turns out not to be replaced
         try:
             got = await lead.store.read(keys.LEADER)
             record, stamp = got.value if isinstance(got.value, dict) else {}, got.stamp
             lead.saw_key(record, stamp, got.position)
-            if not self.may_begin() or not lead.promise.vote(lead.me, stamp):
+            if not self.may_begin() or not lead.promise.vote(lead.me, stamp, campaign=self.number):
                 return
             replaced = stamp
             mode = await self._ask_for_mode(record, stamp)
@@ -109,7 +112,9 @@
         its vote, and then for its promise, took over two seconds of each take-over from it.
         """
         lead = self.lead
-        message = {"t": "vote", "n": lead.me, "sok": True, "replaces": replaces, "dead": dead}
+        message = {
+            "t": "vote", "n": lead.me, "sok": True, "replaces": replaces, "dead": dead, "campaign": self.number,
+        }  # fmt: skip
 
         async def ask(peer: Peer) -> dict | None:
             answer = await peer.call(message, timeout=VOTE_WAIT_S)
@@ -165,8 +170,8 @@
         lead = self.lead
         if stamp == self.unresolved:
             return
-        lead.promise.not_replaced(lead.me, stamp)
-        message = {"t": "release", "n": lead.me, "unwritten": stamp}
+        lead.promise.not_replaced(lead.me, self.number)
+        message = {"t": "release", "n": lead.me, "unwritten": self.number}
         for p in lead.peers:
             lead.later(p.call(message))
 
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -225,9 +225,10 @@
 
     def _on_vote(self, node: str, m: dict) -> dict:
         """A candidate asks for support."""
-        replaces = m.get("replaces")
+        replaces, campaign = m.get("replaces"), m.get("campaign")
         stamp = replaces if isinstance(replaces, int) else 0
-        return {"ok": not self.role.leads() and self.promise.vote(node, stamp, m.get("dead") is not False)}
+        number = campaign if isinstance(campaign, int) else 0
+        return {"ok": not self.role.leads() and self.promise.vote(node, stamp, m.get("dead") is not False, number)}
 
     def _on_release(self, node: str, m: dict) -> dict:
         """A leader gives support back, and may name who is to lead next."""
--- a/hookwall/promise.py
+++ b/hookwall/promise.py
@@ -17,8 +17,9 @@
         self.holder = ""
         self.until = -1e9
         self.token = 0
-        # Candidates that may have replaced a leader key, with that key's stamp. Such a write may be carried out late.
-        self.replacing: dict[str, int] = {}
+        # Candidates that may have replaced a leader key: that key's stamp, and the number of the campaign. Such a
+        # write may be carried out late.
+        self.replacing: dict[str, tuple[int, int]] = {}
         # The leader key as read after this process started: (node, stamp); stamp 0: no key.
         self.seen_key: tuple[str, int] | None = None
 
@@ -39,7 +40,7 @@
         self.until = self.clock() + PROMISE_S
         return True
 
-    def vote(self, node: str, replaces: int = 0, dead: bool = True) -> bool:
+    def vote(self, node: str, replaces: int = 0, dead: bool = True, campaign: int = 0) -> bool:
         """A candidate asks for support before it replaces the leader key that has the stamp `replaces`.
 
         From here on this node never supports the leader of that key again: the vote ends after a short time, but
@@ -57,16 +58,19 @@
         self.holder = node
         self.until = max(self.until, self.clock() + VOTE_S)
         if replaces:
-            self.replacing[node] = max(replaces, self.replacing.get(node, 0))
+            self.replacing[node] = (replaces, campaign)
         return True
 
     def replaced(self, token: int) -> bool:
         """Whether a candidate that this node voted for may have replaced the key of this token."""
-        return any(token <= stamp for stamp in self.replacing.values())
+        return any(token <= stamp for stamp, _ in self.replacing.values())
 
-    def not_replaced(self, node: str, stamp: int) -> None:
-        """A candidate says that it has not replaced the key of this stamp and is not going to."""
-        if self.replacing.get(node) == stamp:
+    def not_replaced(self, node: str, campaign: int) -> None:
+        """A candidate says that it has not replaced a key in this campaign and is not going to.
+
+        It may have begun another one since: this message may come late.
+        """
+        if self.replacing.get(node, (0, -1))[1] == campaign:
             del self.replacing[node]
 
     def release(self, node: str, token: int) -> None:
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -300,18 +300,28 @@
 
 
 def test_a_candidate_that_wrote_nothing_lets_the_former_leader_be_supported(promise, clock):
-    promise.vote("n2", replaces=7)
+    promise.vote("n2", replaces=7, campaign=21)
     clock.tick(VOTE_S + 0.01)
-    promise.vote("n0", replaces=7)
+    promise.vote("n0", replaces=7, campaign=1)
     clock.tick(VOTE_S + 0.01)
-    promise.not_replaced("n2", 7)
+    promise.not_replaced("n2", 21)
     assert not promise.renew("n1", 7), "another candidate may still replace it"
-    promise.not_replaced("n0", 6)
-    assert not promise.renew("n1", 7), "it speaks of an older key"
-    promise.not_replaced("n0", 7)
+    promise.not_replaced("n0", 2)
+    assert not promise.renew("n1", 7), "it speaks of another campaign"
+    promise.not_replaced("n0", 1)
     assert promise.renew("n1", 7)
 
 
+def test_that_nothing_was_written_is_not_believed_of_a_later_campaign(promise, clock):
+    """The first campaign failed for certain and said so, late; the write of the second may still be carried out."""
+    promise.vote("n2", replaces=7, campaign=21)
+    clock.tick(VOTE_S + 0.01)
+    promise.vote("n2", replaces=7, campaign=22)
+    clock.tick(VOTE_S + 0.01)
+    promise.not_replaced("n2", 21)
+    assert not promise.renew("n1", 7)
+
+
 def unwritten(lead) -> list[object]:
     return [m["unwritten"] for p in lead.peers for m in p.calls if "unwritten" in m]
 
@@ -370,8 +380,9 @@
         await asyncio.sleep(0.01)
 
     asyncio.run(campaign())
-    assert [m["replaces"] for p in lead.peers for m in p.calls if m["t"] == "vote"] == [7, 7]
-    assert unwritten(lead) == [7, 7]
+    asked = [m for p in lead.peers for m in p.calls if m["t"] == "vote"]
+    assert [m["replaces"] for m in asked] == [7, 7]
+    assert unwritten(lead) == [m["campaign"] for m in asked]
     clock.tick(VOTE_S + 0.01)
     assert lead.promise.renew("n1", 7)
 
@@ -442,11 +453,13 @@
 def test_a_vote_is_asked_with_what_it_replaces(state, clock):
     lead = make(state, clock, [yes, yes])
     clock.tick(PROMISE_S * 2)
-    assert lead.handle({"t": "vote", "n": "n1", "replaces": 7})["ok"]
+    assert lead.handle({"t": "vote", "n": "n1", "replaces": 7, "campaign": 31})["ok"]
     clock.tick(VOTE_S + 0.01)
     answer = lead.handle({"t": "ping", "n": "n2", "tok": 7})
     assert not answer["ok"] and answer["replaced"]
     lead.handle({"t": "release", "n": "n1", "unwritten": 7})
+    assert not lead.handle({"t": "ping", "n": "n2", "tok": 7})["ok"]
+    lead.handle({"t": "release", "n": "n1", "unwritten": 31})
     assert lead.handle({"t": "ping", "n": "n2", "tok": 7})["ok"]
 
 
