A late copy that shows tasks that are done holds up no other task of the job

The count of tasks that wait left out tasks seen elsewhere, also those that are done, and could fall to nothing or below. Test in test_fleet (failed before).

--- a/hookwall/job.py
+++ b/hookwall/job.py
@@ -135,9 +135,9 @@
         return out
 
     def n_pending(self) -> int:
-        if self.phase != OPEN:
+        if self.phase != OPEN or self.done is None:
             return 0
-        elsewhere = sum(1 for task in self.unrecorded if task not in self.active)
+        elsewhere = sum(1 for task in self.unrecorded if task not in self.active and not self.done[task])
         return self.tasks - self.n_done - sum(1 for a in self.active.values() if not a.finished) - elsewhere
 
     def seen_on(self, task: int, machine: str) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -334,6 +334,17 @@
     assert job.unrecorded == {}, "a new leadership believes its own reports only"
 
 
+def test_a_late_copy_that_shows_tasks_that_are_done_holds_up_no_other(cluster):
+    cluster.beat("vm-2")
+    job = cluster.submit(1, pieces=3)
+    job.mark_done(0)
+    job.mark_done(1)
+    cluster.beat("vm-1", [(f"run-000001/{task}", 1, "running", None) for task in (0, 1)])
+    assert job.n_pending() == 1
+    cluster.scheduler.round()
+    assert sorted(job.active) == [2]
+
+
 def test_a_start_is_not_launched_while_another_machine_reports_the_task(cluster):
     cluster.beat("vm-2")
     job = cluster.submit(1)
