--- a/tests/histories.py
+++ b/tests/histories.py
@@ -156,18 +156,15 @@
         await self._member(self.world.apart, frozenset((one, other)), "apart")
 
     async def node_alone(self) -> None:
-        name = self.node()
-        await asyncio.gather(
-            *(self._member(self.world.apart, frozenset((name, other)), "apart", 4.0, 16.0)
-              for other in self.world.names if other != name)
-        )  # fmt: skip
+        links = sorted(self.world.links_of(self.node()), key=sorted)
+        await asyncio.gather(*(self._member(self.world.apart, link, "apart", 4.0, 16.0) for link in links))
 
     async def zone_cut(self) -> None:
         """A zone's workers reach one node only, which reaches no other node."""
         name, zone, for_s = self.node(), self.random.choice(["east", "west"]), self.span(6.0, 25.0)
         self.note(f"zone {zone} with {name} cut off for {for_s:.1f}")
         inside = [w for w in self.world.workers.values() if w.zone == zone]
-        pairs = {frozenset((name, other)) for other in self.world.names if other != name}
+        pairs = self.world.links_of(name)
         for worker in self.world.workers.values():
             worker.reached = (lambda node: node == name) if worker in inside else (lambda node: node != name)
         self.world.apart |= pairs
@@ -184,7 +181,7 @@
             return
         before_s, for_s, at_s = self.span(0.2, 3.0), self.span(5.0, 15.0), self.span(-1.0, 1.0)
         self.note(f"{worker.name} comes to {name} {before_s:.1f} before its lease ends, for {for_s:.1f}")
-        pairs = {frozenset((name, other)) for other in self.world.names if other != name}
+        pairs = self.world.links_of(name)
         self.world.apart |= pairs
         worker.reached = lambda node: node == name
         worker.hung, worker.node = True, self.world.names.index(name)
--- a/tests/test_ran_twice.py
+++ b/tests/test_ran_twice.py
@@ -20,7 +20,7 @@
 
     Returns when its lease would have ended.
     """
-    world.apart |= {frozenset((keeper, other)) for other in world.names if other != keeper}
+    world.apart |= world.links_of(keeper)
     worker.reached = lambda node: node == keeper
     await asyncio.sleep(0.05)
     worker.hung = True
@@ -51,7 +51,9 @@
         await asyncio.sleep(5.0)
         worker = machine_of(world, ref)
         world.loop.call_later(
-            worker.lease_from + 12.0 - before_end_s - 0.5 - world.now(), world.service.refused.add, lead
+            worker.lease_from + world.params.workers.lease_s - before_end_s - 0.5 - world.now(),
+            world.service.refused.add,
+            lead,
         )
         end = await comes_to_keeper(world, worker, keeper, before_end_s)
         await world.until(lambda: world.now() > end - before_end_s - 0.5 + refused_s, 20.0, "the clock stands")
@@ -90,11 +92,11 @@
         await world.until(lambda: bool(writes), 12.0, "nobody takes over")
         candidate, at = writes[0]
         await asyncio.sleep(at + VOTE_S + 0.01 - world.now())
-        world.apart |= {frozenset((candidate, other)) for other in world.names if other != candidate}
+        world.apart |= world.links_of(candidate)
         world.service.refused.add(lead)
         world.thaw(lead)
         await asyncio.sleep(at + 2.9 - world.now())
-        world.apart |= {frozenset((lead, other)) for other in world.names if other != lead}
+        world.apart |= world.links_of(lead)
         await asyncio.sleep(12.0)
         world.service.refused.clear()
         world.apart.clear()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -156,7 +156,7 @@
             w.service.outage(True)
             w.loop.call_later(14.0, w.service.outage, False)
         elif trouble == "cut":
-            w.apart |= {frozenset(("n0", "n1")), frozenset(("n0", "n2"))}
+            w.apart |= w.links_of("n0")
             w.loop.call_later(14.0, w.apart.clear)
         elif trouble == "late writes":
             w.service.late = lambda node, body: w.random.uniform(2.0, 12.0) if w.random.random() < 0.2 else None
--- a/tests/world.py
+++ b/tests/world.py
@@ -530,6 +530,10 @@
             await asyncio.sleep(STEP_S)
         return self.leader()
 
+    def links_of(self, name: str) -> set[frozenset[str]]:
+        """The pairs that a node makes with all others, for `apart`."""
+        return {frozenset((name, other)) for other in self.names if other != name}
+
     def followers(self) -> list[str]:
         lead = self.leader()
         return [n for n, node in self.nodes.items() if node is not lead]
