A new dependent job is told what a poll would tell; readiness counts from the end of a need that ended before

Its needs were known as accepted from records that were read long ago. The answer now goes through the same check as a poll's (503 where it can't be known); the record is stored either way.

--- a/hookwall/dependencies.py
+++ b/hookwall/dependencies.py
@@ -30,6 +30,7 @@
     needed_by: list[int] = field(default_factory=list)
     unmet: int = 0  # jobs that it needs and that are not done
     outcome: Outcome | None = None
+    ended_at: float = 0.0  # when it ended, if it did and that is known
     cancelled_with: bool = False  # a job that it needs was cancelled
     ready_at: float = 0.0  # when the last of the jobs that it needs was done
     own_rank: int = LOWEST_RANK
@@ -96,9 +97,9 @@
         if at is None or self._entries[at].outcome is not None:
             return
         entry = self._entries[at]
-        entry.outcome = outcome
+        entry.outcome, entry.ended_at = outcome, at_s or 0.0
         for child in entry.needed_by:
-            self._follow_end(child, outcome, at_s)
+            self._follow_end(child, entry)
         self._lower(entry.needs)
 
     # -- what follows ----------------------------------------------------------------------------
@@ -151,19 +152,20 @@
         """A new edge: `at` needs `other`."""
         entry, needed = self._entries[at], self._entries[other]
         if needed.outcome is Outcome.DONE:
+            entry.ready_at = max(entry.ready_at, needed.ended_at)
             return
         entry.unmet += 1
         if needed.outcome is Outcome.WITHDRAWN or needed.cancelled_with:
             self._cancel(at)
 
-    def _follow_end(self, child: int, outcome: Outcome, at_s: float | None) -> None:
+    def _follow_end(self, child: int, needed: Entry) -> None:
         """A job that `child` needs has ended."""
         entry = self._entries[child]
-        if outcome is Outcome.WITHDRAWN:
+        if needed.outcome is Outcome.WITHDRAWN:
             self._cancel(child)
             return
         entry.unmet -= 1
-        entry.ready_at = max(entry.ready_at, at_s or 0.0)
+        entry.ready_at = max(entry.ready_at, needed.ended_at)
         if not entry.unmet and entry.outcome is None:
             self._changes.ready.append(entry.ref)
 
--- a/hookwall/user_api.py
+++ b/hookwall/user_api.py
@@ -275,6 +275,10 @@
             await self.refresh(key)
             return await self._state(self.table.jobs[spec.ref])
         log.debug("%s accepted: %s, %d tasks, image %s", spec.ref, spec.job_class, spec.tasks, spec.image)
+        if job.phase == OPEN and spec.needs:
+            # What is known of its needs may be old by now, so it is told what a poll would tell.
+            status, body, headers = await self._state(self.table.jobs[spec.ref])
+            return 201 if status == 200 else status, body, headers
         return 201, wire.job_answer(spec.ref, "pending" if job.phase == OPEN else job.phase), None
 
     async def cancel(self, ref: str) -> Answer:
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -113,3 +113,12 @@
     graph.add("more", ["a"])
     graph.describe("more", 1, 5.0, 100.0)
     assert len(looked) < 30 and graph.rank("a", 3) == 1 and graph.latest_start("a") == 85.0
+
+
+def test_a_job_that_is_added_after_the_end_of_what_it_needs_is_ready_from_that_end():
+    """A node that has just started reads the records in the order of their keys: others may have been added before."""
+    graph = DependencyGraph()
+    graph.add("run-2", ["run-1"])
+    graph.settle("run-1", Outcome.DONE, 50.0)
+    graph.add("run-3", ["run-1"])
+    assert (graph.ready_at("run-2"), graph.ready_at("run-3")) == (50.0, 50.0)
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -261,6 +261,27 @@
     play(scenario, state=SMALL)
 
 
+def test_a_submission_is_not_called_pending_on_knowledge_older_than_a_cancellation_before_it():
+    """Its needs are known as accepted from records that were read long ago; one may be cancelled since."""
+
+    async def scenario(w: World) -> None:
+        needed = w.job(1, run_s=200.0)
+        await w.accepted(needed)
+        await asyncio.sleep(2.0)
+        behind = w.followers()[0]
+        w.service.no_watch.add(behind)
+        other = next(name for name in w.nodes if name != behind)
+        assert await w.cancel(other, needed) == (200, "withdrawn")
+        await asyncio.sleep(w.params.workers.cancel_s + 3.0)
+        dependent = w.job(2, awaits=[needed])
+        assert await w.submit(behind, dependent) == 503
+        w.service.no_watch.clear()
+        await w.accepted(dependent, behind)
+        assert await w.poll(behind, dependent) == (200, "withdrawn")
+
+    play(scenario)
+
+
 # -- what is refused --------------------------------------------------------------------------------
 
 
