Format 3: votes are fenced against forgetting, keepers' keys name machines by number; markers can be raised

- A voter that restarts forgets its vote, and the candidate's write of the leader key may be carried out late.
Each process now writes a key of its node before it supports anybody, and the write of the leader key is conditional on the keys of those who voted for it. tests/test_ran_twice.py brings it about: without the fence two nodes were valid for ten seconds.
A node that the state service refuses goes on without the fence, as older programs do.
- The key of a follower that keeps leases named some 600 machines under lowered limits.
By numbers it names 2,000 of 8,000 in 1.8 KB.
In the plain form, for programs of format 1, it was written over the limit of values, refused with 400, which also was taken for the lowered limits, and nobody was kept; it now names as many as fit.
- A marker was only ever written once, so a node marked with format 2 could never be known to run anything newer.
The old sample file only changed its name.

--- a/hookwall/campaign.py
+++ b/hookwall/campaign.py
@@ -34,6 +34,7 @@
     def __init__(self, lead: "Leadership") -> None:
         self.lead = lead
         self.number = 0  # of the campaign under way, unlike that of any other
+        self.fences: list[tuple[str, int]] = []  # the keys of those who have voted, with their stamps
         self.unresolved = 0  # stamp of the key that a write of this process, without an answer, may yet replace
         self.unresolved_holds: set[int] = set()  # of such writes: once they have ended, those can't happen any more
 
@@ -42,7 +43,7 @@
         lead = self.lead
         if lead.clock() < lead.next_try or not lead.key.known or not lead.store.healthy():
             return False
-        if not lead.promise.free_for(lead.me):
+        if not lead.may_support() or not lead.promise.free_for(lead.me):
             return False
         if lead.key.unfenced(lead.me):
             return True
@@ -72,7 +73,7 @@
                 won = True
                 lead.become(Role.LEADER, "the picture is rebuilt")
         except Conflict:
-            log.debug("campaign: another node was faster")
+            log.debug("campaign: another node was faster, or a voter has restarted")
         except (Refused, Unknown) as e:
             log.debug("campaign: %s", e)
         finally:
@@ -116,21 +117,29 @@
             "t": "vote", "n": lead.me, "sok": True, "replaces": replaces, "dead": dead, "campaign": self.number,
         }  # fmt: skip
 
-        async def ask(peer: Peer) -> dict | None:
+        async def ask(peer: Peer) -> tuple[str, dict | None]:
             answer = await peer.call(message, timeout=VOTE_WAIT_S)
             if answer is not None:
                 lead.note_answer(peer, answer)
-            return answer
+            return peer.name, answer
 
+        self.fences = lead.fence.conditions() if lead.fence is not None else []
         votes, heard = 1, False
         for next_answer in asyncio.as_completed([lead.later(ask(p)) for p in lead.peers]):
-            answer = await next_answer
+            name, answer = await next_answer
             heard = heard or answer is not None
-            votes += answer is not None and bool(answer.get("ok"))
+            if answer is not None and answer.get("ok"):
+                votes += 1
+                self._take_fence(name, answer.get("fence"))
             if votes >= lead.majority:
                 break
         return votes, heard
 
+    def _take_fence(self, voter: str, stamp: object) -> None:
+        """A voter names the stamp of its key; programs before format 3, and nodes that lack the service, don't."""
+        if isinstance(stamp, int) and stamp > 0:
+            self.fences.append((keys.VOTER + voter, stamp))
+
     # -- the key -----------------------------------------------------------------------------------
 
     async def _write_key(self, stamp: int, mode: Mode) -> None:
@@ -140,7 +149,8 @@
         hold = await lead.store.hold(hold_s(mode))
         record = {"node": lead.me, "incarnation": lead.incarnation, "mode": mode.value}
         try:
-            token = await lead.store.commit([(keys.LEADER, stamp)], [(keys.LEADER, record)], hold=hold)
+            conditions = [(keys.LEADER, stamp), *self.fences]
+            token = await lead.store.commit(conditions, [(keys.LEADER, record)], hold=hold)
         except Unknown:
             self.unresolved = max(stamp, self.unresolved)
             self.unresolved_holds.add(hold)
--- a/hookwall/keeper.py
+++ b/hookwall/keeper.py
@@ -13,7 +13,7 @@
 import logging
 from collections.abc import Callable
 
-from hookwall import keys, records, wire
+from hookwall import keys, machine_names, records, wire
 from hookwall.clocks import DRIFT, SLACK_S
 from hookwall.jobs import JobTable
 from hookwall.leadership import Leadership
@@ -57,7 +57,8 @@
         self.away: set[str] = set()  # those sent since the last write began
         self.shrunk = False  # whether the stored key names machines that are kept no more
         self.lock = asyncio.Lock()
-        self.new_formats: Callable[[], bool] = lambda: False
+        self.packs: Callable[[], bool] = lambda: False  # whether all nodes read names in the packed form
+        self.numbers: Callable[[], bool] = lambda: False  # and machines by their numbers
 
     def may(self, b: Beat) -> bool:
         """Whether this worker has lost a leader who, as far as the store says, leads.
@@ -161,15 +162,28 @@
 
     def _value(self, token: int, names: list[str]) -> dict:
         """The key's value. Where it would be too large it names only some of the machines; the rest is not kept."""
+        wanted = len(names)
+        value = self._fitting(token, names)
+        while value is None:
+            del names[len(names) * 3 // 4 :]
+            value = self._fitting(token, names)
+        if len(names) < wanted:
+            log.error("one key names %d of %d machines: the leases of the others are not kept", len(names), wanted)
+        return value
+
+    def _fitting(self, token: int, names: list[str]) -> dict | None:
+        """The first form that all nodes read and that is small enough, or None."""
         value: dict[str, object] = {"token": token, "machines": names}
+        if not self.packs():
+            return value if records.size(value) <= self.store.plain_limit() else None
         limit = self.store.value_limit
-        if not self.new_formats() or records.size(value) <= limit:
+        if records.size(value) <= limit:
             return value
-        while True:
+        if self.numbers():
+            value = {"token": token, "numbered": machine_names.encode(names)}
+        else:
             value = {"token": token, "packed": records.compress(names)}
-            if records.size(value) <= limit or not names:
-                return value
-            del names[len(names) * 3 // 4 :]
+        return value if records.size(value) <= limit else None
 
     async def _stop(self, why: str) -> None:
         """Answer no more, and only then say so."""
--- a/hookwall/kept.py
+++ b/hookwall/kept.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable
 
-from hookwall import records
+from hookwall import machine_names, records
 
 log = logging.getLogger("hookwall.kept")
 
@@ -66,13 +66,18 @@
 
 def _machines(value: object) -> frozenset[str] | None:
     """The machines that a keeper's key names; None, which stands for any, where that can't be read."""
-    names = value.get("machines") if isinstance(value, dict) else None
-    if isinstance(value, dict) and isinstance(value.get("packed"), str):
-        try:
+    if not isinstance(value, dict):
+        log.error("a keeper's key is not an object")
+        return None
+    names = value.get("machines")
+    try:
+        if isinstance(value.get("packed"), str):
             names = records.decompress(value["packed"], list[str])
-        except records.MalformedRecord as error:
-            log.error("a keeper's key is malformed: %s", error)
-            return None
+        elif "numbered" in value:
+            names = machine_names.decode(value["numbered"])
+    except records.MalformedRecord as error:
+        log.error("a keeper's key is malformed: %s", error)
+        return None
     if not isinstance(names, list):
         log.error("a keeper's key names no machines")
         return None
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -29,7 +29,8 @@
 from hookwall.peers import Peer
 from hookwall.promise import PROMISE_S, Promise
 from hookwall.roles import Mode, Role
-from hookwall.store import Refused, Store, Unknown
+from hookwall.store import KeyState, Refused, Store, Unknown
+from hookwall.voter import VoterFence
 
 log = logging.getLogger("hookwall.leadership")
 
@@ -87,6 +88,7 @@
         self.on_lapse: Callable[[], None] = lambda: None  # its validity has ended for a while
         self.hint: Callable[[], object] = lambda: None
         self.on_hint: Callable[[object], None] = lambda _: None
+        self.fence: VoterFence | None = None  # against votes that earlier processes of this node gave
         self.campaign, self.handover = Campaign(self), Handover(self)
         self.rank = sorted([me, *[p.name for p in peers]]).index(me)
         self.next_try = 0.0
@@ -140,6 +142,10 @@
         heard = any(now - t < 3.0 for t in self.peer_heard.values())
         return heard and not any(now - t < 3.0 for t in self.peer_state_ok.values())
 
+    def may_support(self) -> bool:
+        """Whether no vote that an earlier process of this node gave can bind any more, as far as can be told."""
+        return self.fence is None or self.fence.may_support()
+
     # -- changes of state --------------------------------------------------------------------
 
     def become(self, role: Role, why: str) -> None:
@@ -178,6 +184,15 @@
         if self.role.leads() and stamp != self.token:
             self.step_down("the leader key has changed")
 
+    def saw_key_behind_fence(self, got: KeyState) -> None:
+        """The leader key as it is now that no write can happen that relies on a vote of an earlier process.
+
+        Such a write may have replaced a key before, and its own key may be gone again.
+        """
+        self.saw_key(got.value, got.stamp, got.position)
+        if not got.stamp:
+            self.promise.no_key(got.position)
+
     def _note_lapse(self) -> None:
         """Before validity is extended: if it has ended, another node may have been valid meanwhile."""
         if self.role is Role.LEADER and not self.valid():
@@ -211,7 +226,7 @@
         token = m.get("tok")
         if not isinstance(token, int) or token <= 0:
             return {"ok": False}
-        if not self.promise.renew(node, token):
+        if not self.may_support() or not self.promise.renew(node, token):
             return {"ok": False, "replaced": self.promise.replaced(token)}
         self.leader_heard = self.clock()
         if m.get("hint") is not None:
@@ -228,7 +243,10 @@
         replaces, campaign = m.get("replaces"), m.get("campaign")
         stamp = replaces if isinstance(replaces, int) else 0
         number = campaign if isinstance(campaign, int) else 0
-        return {"ok": not self.role.leads() and self.promise.vote(node, stamp, m.get("dead") is not False, number)}
+        if self.role.leads() or not self.may_support():
+            return {"ok": False}
+        voted = self.promise.vote(node, stamp, m.get("dead") is not False, number)
+        return {"ok": voted, "fence": self.fence.stamp if self.fence is not None else 0}
 
     def _on_release(self, node: str, m: dict) -> dict:
         """A leader gives support back, and may name who is to lead next."""
--- /dev/null
+++ b/hookwall/machine_names.py
@@ -0,0 +1,77 @@
+"""A short form of many machine names, which mostly differ in a number at the end.
+
+Names with the same text before the number, and as many digits, are stored together: as the gaps between their numbers
+in ascending order, a byte for a small gap, compressed. 2,000 of a fleet's 4,000 machines fit in a kilobyte.
+"""
+
+import re
+from collections.abc import Iterable
+
+import msgspec
+
+from hookwall import records
+from hookwall.records import MalformedRecord
+
+NUMBERED = re.compile(r"(.*?)([0-9]{1,15})", re.DOTALL | re.ASCII)
+MOST_NAMES = 1_000_000
+
+
+class Group(msgspec.Struct, array_like=True):
+    """Names that differ in their number only: the text before it, its digits, and the packed gaps."""
+
+    prefix: str
+    digits: int
+    gaps: str
+
+
+def encode(names: Iterable[str]) -> dict[str, object]:
+    """The names, in a form that `decode` reads; their order is not kept."""
+    numbers: dict[tuple[str, int], set[int]] = {}
+    others: list[str] = []
+    for name in names:
+        found = NUMBERED.fullmatch(name)
+        if found is None:
+            others.append(name)
+            continue
+        prefix, digits = found.groups()
+        numbers.setdefault((prefix, len(digits)), set()).add(int(digits))
+    groups = [Group(prefix, digits, _pack(found)) for (prefix, digits), found in sorted(numbers.items())]
+    return {"groups": msgspec.to_builtins(groups), "others": sorted(others)}
+
+
+def decode(value: object) -> list[str]:
+    """The names that `encode` was given; MalformedRecord for anything else."""
+    try:
+        groups = msgspec.convert(value["groups"], list[Group])
+        names = msgspec.convert(value["others"], list[str])
+    except (TypeError, KeyError, msgspec.ValidationError) as error:
+        raise MalformedRecord(str(error)) from None
+    for group in groups:
+        names.extend(f"{group.prefix}{number:0{group.digits}d}" for number in _unpack(group.gaps))
+    return names
+
+
+def _pack(numbers: set[int]) -> str:
+    """Distinct numbers as the gaps between them, the first from -1."""
+    gaps: list[int] = []
+    last = -1
+    for number in sorted(numbers):
+        gaps.append(number - last)
+        last = number
+    return records.compress_bytes(msgspec.msgpack.encode(gaps))
+
+
+def _unpack(text: str) -> list[int]:
+    """The numbers that `_pack` was given."""
+    try:
+        gaps = msgspec.msgpack.decode(records.decompress_bytes(text), type=list[int])
+    except msgspec.DecodeError as error:
+        raise MalformedRecord(str(error)) from None
+    if len(gaps) > MOST_NAMES or any(gap < 1 for gap in gaps):
+        raise MalformedRecord("gaps between numbers of machines")
+    numbers: list[int] = []
+    last = -1
+    for gap in gaps:
+        last += gap
+        numbers.append(last)
+    return numbers
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from hookwall import formats, keys, peers, server, wire
+from hookwall import keys, peers, server, wire
 from hookwall.cancellations import Cancellations
 from hookwall.cloud_client import CloudClient
 from hookwall.confirmer import Confirmer
@@ -26,6 +26,7 @@
 from hookwall.settings import Settings, address
 from hookwall.store import Conflict, Refused, Store, TooOld, Unknown
 from hookwall.user_api import UserApi
+from hookwall.voter import VoterFence
 from hookwall.wire import BadMessage, Beat, Catalog
 
 log = logging.getLogger("hookwall.node")
@@ -63,6 +64,7 @@
             settings.node_name, params.size, [Peer(s) for s in settings.seeds], self.store, clock,
             self._load, self._role,
         )  # fmt: skip
+        self.leadership.fence = VoterFence(settings.node_name, self.store, self.leadership.saw_key_behind_fence)
         self.cancellations = Cancellations(
             params.workers, self.leadership, self.store, clock, self._position, self.table.withdraw
         )
@@ -75,7 +77,8 @@
             self.table, self.store, self.leadership, self.fleet.kept, [keys.KEEP + n for n in peer_names], clock
         )
         self.writer.refresh, self.writer.on_stored = self._refresh, self._stored
-        self.writer.new_formats = self.keeper.new_formats = self.api.new_formats = self.formats.ready
+        self.writer.new_formats = self.api.new_formats = self.formats.pipelines
+        self.keeper.packs, self.keeper.numbers = self.formats.pipelines, self.formats.numbered
         self.writer.watched = lambda: self.epoch
         self.scheduler.record_bytes = self.writer.record_bytes
         self.api.current = self.cancellations.records_current
@@ -109,7 +112,7 @@
 
     def _about(self) -> dict:
         """What this node says of itself in each message to its peers."""
-        return {"format": formats.CURRENT, "lowered": self.store.lowered_seen()}
+        return {"format": self.formats.current, "lowered": self.store.lowered_seen()}
 
     def _on_about(self, node: str, message: dict) -> None:
         """What a peer says of itself; older programs say nothing."""
@@ -127,7 +130,7 @@
         elif key.startswith(keys.PARTS):
             self.table.take_part(key, value, stamp)
         elif key.startswith(keys.FORMAT):
-            self.formats.saw(key, value)
+            self.formats.saw(key, value, stamp)
         elif key == keys.CATALOG and not self.leadership.valid():
             try:
                 self._set_catalog(wire.convert(value, Catalog))
@@ -367,6 +370,7 @@
             "round": self.round_loop,
             "ping": lead.ping_loop,
             "probe": lead.probe_loop,
+            **({"fence": lead.fence.run} if lead.fence is not None else {}),
             "lead": lambda: lead.run(lambda: bool(self.fleet.machines)),
             "keep": self.keeper.run,
             "rent": lambda: self.renting.run(lead.valid, lambda: lead.token),
--- a/hookwall/promise.py
+++ b/hookwall/promise.py
@@ -27,6 +27,10 @@
         """A promise given before a restart is forgotten, so for its length none may be contradicted."""
         return self.clock() < self.started + PROMISE_S * (1 + DRIFT) + SLACK_S
 
+    def no_key(self, position: int) -> None:
+        """There was no leader key at this change of the state service: who led by an earlier one is not supported."""
+        self.token = max(self.token, position + 1)
+
     def free_for(self, node: str) -> bool:
         return self.holder == node or self.clock() >= self.until
 
--- a/hookwall/records.py
+++ b/hookwall/records.py
@@ -105,19 +105,32 @@
 
 def compress(value: object) -> str:
     """Any JSON value as a short text without characters that JSON escapes."""
-    return b64encode(zlib.compress(msgspec.json.encode(value), 6)).decode()
+    return compress_bytes(msgspec.json.encode(value))
 
 
 def decompress(text: str, kind: Any) -> Any:
     """The value that `compress` wrote, as the given type; MalformedRecord for anything else."""
+    try:
+        return msgspec.json.decode(decompress_bytes(text), type=kind)
+    except msgspec.DecodeError as error:
+        raise MalformedRecord(str(error)) from None
+
+
+def compress_bytes(raw: bytes) -> str:
+    """Bytes as a short text without characters that JSON escapes."""
+    return b64encode(zlib.compress(raw, 6)).decode()
+
+
+def decompress_bytes(text: str) -> bytes:
+    """The bytes that `compress_bytes` was given; MalformedRecord for anything else."""
     try:
         stream = zlib.decompressobj()
         raw = stream.decompress(b64decode(text, validate=True), MOST_UNPACKED)
-        if not stream.eof:
-            raise MalformedRecord("packed text is cut off or too long")
-        return msgspec.json.decode(raw, type=kind)
-    except (ValueError, zlib.error, msgspec.DecodeError) as error:
+    except (ValueError, zlib.error) as error:
         raise MalformedRecord(str(error)) from None
+    if not stream.eof:
+        raise MalformedRecord("packed text is cut off or too long")
+    return raw
 
 
 def plain(record: JobRecord) -> dict[str, Any]:
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -171,6 +171,10 @@
             self.lent.clear()
             self._pace()
 
+    def plain_limit(self) -> int:
+        """How large a value may be while older programs, which don't know of the limits to come, read it."""
+        return self.value_limit if self.lowered else value_limit(self.limits.value_kb)
+
     def batch(self) -> int:
         """How many keys to put into one write: what the pace lets through in half a second."""
         return max(1, min(self.txn_ops, int(self.writes.rate * 0.5)))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -39,6 +39,9 @@
     def batch(self) -> int:
         return self.txn_ops
 
+    def plain_limit(self) -> int:
+        return value_limit(self.limits.value_kb)
+
     def healthy(self) -> bool:
         return self.mode != "down"
 
--- a/tests/production.py
+++ b/tests/production.py
@@ -1,9 +1,10 @@
-"""The version in production, as other versions meet it: what its decoders require, and a node that follows it.
+"""Versions that were in production, as newer ones meet them: what they require, and nodes that follow them.
 
-Written from its code (`deploy/service.toml` names the commit); `docs/design.md` has the same as a table.
-It reads a job record's `phase`, `n`, `next`, `on` (lists of machine, tenure, attempt, ranges of tasks), `spec`
-(the fields of a submission without `awaits`), `at` and `done`, and drops all else when it writes the record
-again. It ignores keys that it does not know and unknown fields of messages.
+Written from their code; `docs/design.md` has the same as a table. Format 1 (up to e723b3b) reads a job record's
+`phase`, `n`, `next`, `on` (lists of machine, tenure, attempt, ranges of tasks), `spec` (the fields of a submission
+without `awaits`), `at` and `done`, and drops all else when it writes the record again. Format 2 (0dce834) reads
+`ended`, `spec.awaits` and `packed` as well, and keepers' keys with `machines` or `packed`; one with neither stands for
+any machine. Both ignore keys that they do not know and unknown fields of messages.
 """
 
 import json
@@ -12,6 +13,7 @@
 import msgspec
 
 from hookwall import keys
+from hookwall.formats import Format, FormatGate
 from hookwall.node import Node
 
 SPEC_FIELDS = {
@@ -21,10 +23,11 @@
 }  # fmt: skip
 SPEC_OPTIONAL = {"hulls", "yard", "dueS"}
 RECORD_FIELDS = {"phase", "n", "next", "on", "spec", "at", "done"}
+FORMAT_2_FIELDS = {"ended", "packed"}
 
 
 def misread(value: Any) -> list[str]:
-    """What production's decoder would lose or take for something else in a job record; empty: nothing."""
+    """What the decoder of format 1 would lose or take for something else in a job record; empty: nothing."""
     wrong = [f"unknown field {name}" for name in value.keys() - RECORD_FIELDS]
     if value.get("phase") not in ("open", "done", "withdrawn"):
         wrong.append("phase")
@@ -51,8 +54,8 @@
     return wrong
 
 
-class ProductionNode(Node):
-    """A node that writes and says only what production does, and reports what it would misread."""
+class Format1Node(Node):
+    """A node that writes and says only what programs of format 1 do, and reports what they would misread."""
 
     def __init__(self, settings, clock, wall, broken: list[str]) -> None:
         limits = settings.settings
@@ -60,8 +63,10 @@
         super().__init__(msgspec.structs.replace(settings, settings=limits), clock, wall)
         self.broken = broken
         self.leadership.about, self.leadership.on_about = dict, lambda node, message: None
-        self.formats.vouched.clear()
-        self.writer.new_formats = self.keeper.new_formats = self.api.new_formats = lambda: False
+        self.leadership.fence = None
+        self.formats.heard_of.clear()
+        self.writer.new_formats = self.api.new_formats = lambda: False
+        self.keeper.packs = self.keeper.numbers = lambda: False
         submit = self.api.submit
         self.api.submit = lambda body: submit(without_needs(body))
 
@@ -69,13 +74,49 @@
         if key.startswith(keys.JOBS):
             wrong = misread(value)
             if wrong:
-                self.broken.append(f"production misreads {key}: {wrong}")
+                self.broken.append(f"format 1 misreads {key}: {wrong}")
         if key.startswith((keys.JOBS, keys.LEADER, keys.KEEP, keys.CATALOG)):
             super()._take_key(key, value, stamp)
 
 
+class Format2Gate(FormatGate):
+    """Markers as programs of format 2 know them: they never replace one, whatever it says."""
+
+    def heard(self, node: str, known: object) -> None:
+        super().heard(node, Format.PIPELINES if isinstance(known, int) and known >= Format.PIPELINES else None)
+
+    async def _mark(self, node: str, known: int) -> None:
+        if node not in self.markers:
+            await super()._mark(node, known)
+
+
+class Format2Node(Node):
+    """A node that writes and says only what programs of format 2 do, and reports what they would misread."""
+
+    def __init__(self, settings, clock, wall, broken: list[str]) -> None:
+        super().__init__(settings, clock, wall)
+        self.broken = broken
+        self.leadership.fence = None
+        self.formats = Format2Gate(settings.node_name, [s.node_name for s in settings.seeds], self.store, 2)
+        self.writer.new_formats = self.api.new_formats = self.keeper.packs = self.formats.pipelines
+        self.keeper.numbers = lambda: False
+
+    def _take_key(self, key: str, value: Any, stamp: int) -> None:
+        if key.startswith(keys.JOBS):
+            unknown = value.keys() - RECORD_FIELDS - FORMAT_2_FIELDS
+            if unknown:
+                self.broken.append(f"format 2 misreads {key}: {unknown}")
+        if key.startswith(keys.KEEP) and not {"machines", "packed"} & value.keys():
+            self.broken.append(f"format 2 takes {key} to name any machine")
+        if not key.startswith(keys.VOTER):
+            super()._take_key(key, value, stamp)
+
+
+OLD_NODES = {1: Format1Node, 2: Format2Node}
+
+
 def without_needs(body: bytes) -> bytes:
-    """A submission as production understands it."""
+    """A submission as programs of format 1 understand it."""
     fields = json.loads(body)
     fields.pop("awaits", None)
     return json.dumps(fields).encode()
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -1,4 +1,4 @@
-"""Old and new versions on each other's data: golden samples were made by production's own code."""
+"""Old and new versions on each other's data: golden samples were made by the own code of versions in production."""
 
 import json
 from pathlib import Path
@@ -9,12 +9,15 @@
 from production import misread
 
 from hookwall import keys, records, wire
+from hookwall.formats import CURRENT, FormatGate
 from hookwall.jobs import JobTable
 from hookwall.kept import Kept, _machines
 from hookwall.leadership import Leadership
 from hookwall.roles import Mode
 
-GOLDEN = json.loads((Path(__file__).parent / "golden" / "production.json").read_text(encoding="utf-8"))
+SAMPLES = Path(__file__).parent / "golden"
+GOLDEN = json.loads((SAMPLES / "format_1.json").read_text(encoding="utf-8"))
+GOLDEN_2 = json.loads((SAMPLES / "format_2.json").read_text(encoding="utf-8"))
 
 
 def stored(value: object) -> object:
@@ -112,3 +115,74 @@
     names = [f"vm-{n:06d}" for n in range(300)]
     assert _machines({"token": 5, "packed": records.compress(names)}) == frozenset(names)
     assert _machines({"token": 5, "packed": "nonsense"}) is None, "any machine may be kept"
+
+
+# -- format 2 ---------------------------------------------------------------------------------------
+
+
+def test_keys_are_those_of_format_2():
+    names = {name: getattr(keys, name.upper()) for name in ("leader", "catalog", "keep", "format", "parts")}
+    assert GOLDEN_2["keys"] == {**names, "jobs": keys.JOBS}
+    # Programs of format 2 look at no other keys below the root that they read and watch.
+    assert keys.VOTER.startswith(keys.ROOT) and not keys.VOTER.startswith(tuple(GOLDEN_2["keys"].values()))
+
+
+@pytest.mark.parametrize("name", sorted(GOLDEN_2["jobs"]))
+def test_a_record_of_format_2_is_read_and_written_back_with_the_same_content(name, clock):
+    value = GOLDEN_2["jobs"][name]
+    ref = "run-000006"  # the one whose record is in parts
+    record = records.decode(ref, value, GOLDEN_2["parts"].get)
+    if "packed" not in value:
+        assert stored(records.encode(ref, record, 4096).value) == value
+    again = records.encode(ref, record, records.value_limit(1.0))
+    assert records.decode(ref, stored(again.value), again.parts.get) == record
+    assert set(records.part_keys(ref, again.value)) == set(records.part_keys(ref, value)), "parts are written once"
+    table = JobTable(clock)
+    for key, text in GOLDEN_2["parts"].items():
+        table.take_part(key, text, 5)
+    table.apply(keys.JOBS + ref, value, 7)
+    job = table.jobs[ref]
+    assert (job.stamp, job.stored_phase, job.tasks, job.next_attempt) == (7, value["phase"], value["n"], value["next"])
+    assert not job.unreadable
+
+
+def test_what_a_record_of_format_2_says_is_known(clock):
+    table = JobTable(clock)
+    for n, name in enumerate(("done", "dependent", "under_way"), 1):
+        table.apply(f"{keys.JOBS}run-{n:06d}", GOLDEN_2["jobs"][name], 7 + n)
+    assert table.jobs["run-000001"].ended == 1_700_000_100.5
+    assert table.graph.needs("run-000002") == ["run-000009"] and "run-000002" in table.blocked
+    assert table.jobs["run-000003"].stored_on == {task: (f"vm-{231 + task:06d}", 2) for task in (1, 4, 7)}
+
+
+def test_the_other_keys_of_format_2_are_read(clock, state):
+    lead = Leadership("n1", 3, [], state, clock, None, lambda role: None)
+    lead.saw_key(GOLDEN_2["leader_key"], 9)
+    assert (lead.key.node, lead.key.stamp, lead.key.mode) == ("n0", 9, Mode.PROMISE)
+    assert _machines(GOLDEN_2["keep"]["plain"]) == {"vm-000231", "vm-000232"}
+    assert _machines(GOLDEN_2["keep"]["packed"]) == {f"vm-{n:06d}" for n in range(231, 431)}
+    gate = FormatGate("n0", [], state)
+    gate.saw(keys.FORMAT + "n0", GOLDEN_2["marker"], 3)
+    assert gate.pipelines() and not gate.numbered()
+    assert msgspec.to_builtins(wire.convert(GOLDEN_2["catalog"], wire.Catalog)) == GOLDEN_2["catalog"]
+
+
+@pytest.mark.parametrize("kind", sorted(GOLDEN_2["messages"]))
+def test_messages_of_format_2_are_answered_in_a_way_that_it_reads(kind, clock, state):
+    state.last_ok = clock()
+    lead = Leadership("n1", 3, [], state, clock, None, lambda role: None)
+    lead.about = lambda: {"format": 3, "lowered": False}
+    lead.want = lambda: [1.0, 1.0]
+    lead.on_told = lambda message: {"knows": True, "leads": False}
+    lead.reply = lambda ping: {"cancelled": [("run-000003", 12)], "complete": True}
+    clock.tick(6.0)
+    answer = stored(lead.handle(GOLDEN_2["messages"][kind]))
+    golden = GOLDEN_2["answers"][kind]
+    assert answer.keys() - golden.keys() <= {"fence"}
+    for name, value in golden.items():
+        assert isinstance(answer[name], type(value)) or {type(value), type(answer[name])} <= {int, float}
+
+
+def test_a_marker_of_this_version_is_one_for_format_2_too():
+    """It counts a node as marked from its own number on, and ignores who else is told of."""
+    assert GOLDEN_2["marker"]["format"] <= CURRENT
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -1,6 +1,7 @@
 """Followers keep leases only if the leader can't believe them to be over."""
 
 import asyncio
+import random
 
 import pytest
 
@@ -8,9 +9,9 @@
 from hookwall import keys, wire
 from hookwall.jobs import JobTable
 from hookwall.keeper import Keeper
-from hookwall.kept import Kept
+from hookwall.kept import Kept, _machines
 from hookwall.leadership import Leadership
-from hookwall.records import plain
+from hookwall.records import plain, size, value_limit
 from hookwall.store import Conflict
 
 
@@ -190,3 +191,24 @@
     clock.tick(1.0)
     kept.take("k", None, 0)
     assert not kept.kept("vm-1") and kept.heard("vm-1") == clock()
+
+
+@pytest.mark.parametrize(("form", "kept"), [("plain", 900), ("packed", 4000), ("numbered", 4000)])
+def test_a_zone_of_thousands_of_machines_is_kept_as_far_as_one_key_names_them(follower, state, form, kept):
+    """The plain form, for programs of format 1, names some; it was written too large and nobody was kept."""
+    follower.packs = lambda: form != "plain"
+    follower.numbers = lambda: form == "numbered"
+    names = [f"vm-{n:06d}" for n in range(1, 8001, 2)]
+    value = follower._value(7, list(names))
+    stored = _machines(value)
+    assert kept <= len(stored) and stored <= set(names)
+    assert size(value) <= state.plain_limit() and ("numbered" in value) == (form == "numbered")
+
+
+def test_a_zone_of_two_thousand_machines_is_kept_under_lowered_limits(follower, state):
+    follower.packs = follower.numbers = lambda: True
+    state.value_limit = value_limit(2.0)
+    names = {f"vm-{n:06d}" for n in random.Random(3).sample(range(8000), 2000)}
+    follower.wanted = set(names)
+    asyncio.run(follower._write())
+    assert follower.kept == names and _machines(state.keys[keys.KEEP + "n1"][0]) == names
--- a/tests/test_ran_twice.py
+++ b/tests/test_ran_twice.py
@@ -104,3 +104,49 @@
         assert world.leader() is not None and world.on_machines(ref)
 
     play(scenario)
+
+
+def test_a_vote_that_a_restarted_voter_has_forgotten_makes_no_second_leader():
+    """A candidate's write of the leader key is carried out late, after its voter has restarted and forgotten its vote.
+
+    The voter's new process supported the former leader again, which lacks the state service and so hears of no newer
+    key. The candidate's node restarted as well, cut off from its peers, found the key that names it and led alone.
+    """
+    writes: list[tuple[str, float]] = []
+
+    async def scenario(world: World) -> None:
+        Invariants(world).watch()
+        ref = world.job(1, run_s=300.0)
+        await world.accepted(ref)
+        await world.runs(ref)
+        lead = world.leader().settings.node_name
+
+        def late(node: str, body: dict) -> float | None:
+            sets_key = any(change.get("set") == keys.LEADER for change in body.get("apply", ()))
+            if not sets_key or writes:
+                return None
+            writes.append((node, world.now()))
+            return 0.8
+
+        world.service.late = late
+        world.freeze(lead)
+        await world.until(lambda: bool(writes), 12.0, "nobody takes over")
+        candidate, _ = writes[0]
+        voter = next(n for n in world.names if n not in (lead, candidate))
+        world.apart |= world.links_of(candidate)
+        world.crash(voter)
+        await asyncio.sleep(0.1)
+        world.start(voter)
+        world.service.refused.add(lead)
+        world.thaw(lead)
+        world.crash(candidate)  # before it can end the hold of its write
+        await asyncio.sleep(0.3)
+        world.service.refused.add(voter)  # it has read the key; from now on it hears of no other
+        world.start(candidate)
+        await asyncio.sleep(12.0)
+        world.service.refused.clear()
+        world.apart.clear()
+        await asyncio.sleep(10.0)
+        assert world.leader() is not None and world.on_machines(ref)
+
+    play(scenario)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -1,4 +1,7 @@
-"""Rolling upgrades: production's nodes are replaced while users, workers and troubles go on; no rule breaks."""
+"""Rolling upgrades: nodes that know an older format are replaced while users, workers and troubles go on.
+
+`old` is the format of the program that is replaced: 1 was in production up to e723b3b, 2 is that of 0dce834.
+"""
 
 import asyncio
 from itertools import permutations
@@ -14,10 +17,13 @@
     rps=150.0, write_rps=50.0, value_kb=16.0, txn_ops=12, next=NextState(write_rps=30.0, value_kb=2.0, txn_ops=4)
 )
 NAMES = ("n0", "n1", "n2")
+any_old = pytest.mark.parametrize("old", [1, 2])
 
 
 async def all_new(w: World, within_s: float = 10.0) -> None:
-    await w.until(lambda: all(n.formats.ready() for n in w.nodes.values()), within_s, "not all nodes know all are new")
+    await w.until(
+        lambda: all(n.formats.all_know(CURRENT) for n in w.nodes.values()), within_s, "not all nodes know all are new"
+    )
 
 
 async def accepted(w: World, ref: str, within_s: float = 60.0) -> None:
@@ -65,7 +71,8 @@
 
 
 @pytest.mark.parametrize("order", permutations(NAMES))
-def test_nodes_are_replaced_one_by_one_in_any_order_while_users_go_on(order):
+@any_old
+def test_nodes_are_replaced_one_by_one_in_any_order_while_users_go_on(order, old):
     async def scenario(w: World) -> None:
         traffic = w.go(users(w, 1, 25))
         for name in order:
@@ -77,11 +84,12 @@
         await ended(w, [*await traffic, *refs])
         assert all(w.jobs[ref].final == "done" for ref in refs)
 
-    play(scenario, old=True)
+    play(scenario, old=old)
 
 
 @pytest.mark.parametrize("leader_first", [True, False])
-def test_two_nodes_are_replaced_at_once(leader_first):
+@any_old
+def test_two_nodes_are_replaced_at_once(leader_first, old):
     async def scenario(w: World) -> None:
         traffic = w.go(users(w, 1, 25))
         lead, others = w.leader().settings.node_name, w.followers()
@@ -92,7 +100,7 @@
         await all_new(w, 20.0)
         await ended(w, [*await traffic, *await pipeline(w, 100)])
 
-    play(scenario, old=True)
+    play(scenario, old=old)
 
 
 def test_a_dependent_job_is_not_taken_while_an_old_program_may_come_back():
@@ -107,7 +115,7 @@
         w.crash("n2")
         assert await w.submit("n0", second) == 503
         await asyncio.sleep(3.0)
-        w.start("n2", old=True)
+        w.start("n2", old=1)
         await asyncio.sleep(6.0)
         assert await w.submit("n1", second) == 503
         await w.upgrade("n2")
@@ -115,25 +123,27 @@
         assert await w.submit("n1", second) == 201
         await ended(w, [first, second])
 
-    play(scenario, old=True)
+    play(scenario, old=1)
 
 
-def test_a_node_that_the_state_service_refuses_is_vouched_for_by_its_peers():
+@any_old
+def test_a_node_that_the_state_service_refuses_is_vouched_for_by_its_peers(old):
     """It can't store its marker: submissions would be answered 503 for as long as it is refused."""
 
     async def scenario(w: World) -> None:
         w.service.refused.add("n2")
         await w.upgrade("n0", "n1")
         await w.upgrade("n2")
-        await w.until(lambda: w.nodes["n0"].formats.ready(), 15.0, "no marker for the node that is refused")
+        await w.until(lambda: w.nodes["n0"].formats.all_know(CURRENT), 15.0, "no marker for the node that is refused")
         first = w.job(1, run_s=3.0)
         await w.accepted(first, "n0")
         await w.accepted(w.job(2, run_s=3.0, awaits=[first]), "n1", within_s=2.0)
 
-    play(scenario, old=True)
+    play(scenario, old=old)
 
 
-def test_a_node_that_is_marked_and_away_does_not_hold_up_new_formats():
+@any_old
+def test_a_node_that_is_marked_and_away_does_not_hold_up_new_formats(old):
     async def scenario(w: World) -> None:
         await w.upgrade("n2")
         await asyncio.sleep(3.0)
@@ -141,13 +151,14 @@
         await asyncio.sleep(3.0)
         w.crash("n2")
         await w.upgrade("n0")
-        await w.until(lambda: w.nodes["n0"].formats.ready(), 10.0, "waits for a node that is marked")
+        await w.until(lambda: w.nodes["n0"].formats.all_know(CURRENT), 10.0, "waits for a node that is marked")
 
-    play(scenario, old=True)
+    play(scenario, old=old)
 
 
 @pytest.mark.parametrize("trouble", ["outage", "cut", "late writes", "crash"])
-def test_troubles_in_the_midst_of_an_upgrade(trouble):
+@any_old
+def test_troubles_in_the_midst_of_an_upgrade(trouble, old):
     async def scenario(w: World) -> None:
         traffic = w.go(users(w, 1, 30))
         await w.upgrade(w.followers()[0])
@@ -163,9 +174,9 @@
         else:
             name = lead.settings.node_name
             w.crash(name)
-            w.start(name, old=name != w.followers()[0])
+            w.start(name, old=old if name != w.followers()[0] else 0)
         await asyncio.sleep(3.0)
-        for name in [n for n, node in w.nodes.items() if type(node).__name__ == "ProductionNode"]:
+        for name in [n for n, node in w.nodes.items() if type(node).__name__ != "Node"]:
             await w.upgrade(name)
             await asyncio.sleep(2.0)
         await asyncio.sleep(12.0)
@@ -173,10 +184,11 @@
         await all_new(w, 30.0)
         await ended(w, [*await traffic, *await pipeline(w, 100)], 60.0)
 
-    play(scenario, old=True)
+    play(scenario, old=old)
 
 
-def test_nothing_new_is_written_before_all_are_new_and_then_all_fits_both_limits():
+@any_old
+def test_nothing_new_is_written_before_all_are_new_and_then_all_fits_both_limits(old):
     """Large records of production stay alterable after the switch, in the midst of writes."""
 
     async def scenario(w: World) -> None:
@@ -201,10 +213,11 @@
         await ended(w, refs, 120.0)
         assert w.service.refusals[400] <= 3 and w.service.largest <= 2048
 
-    play(scenario, machines=8, old=True, state=LIMITS)
+    play(scenario, machines=8, old=old, state=LIMITS)
 
 
-def test_a_write_of_production_that_is_carried_out_late_does_not_undo_a_newer_one():
+@any_old
+def test_a_write_of_production_that_is_carried_out_late_does_not_undo_a_newer_one(old):
     """The old leader's last transaction is carried out once all nodes are new and have written the same job."""
 
     async def scenario(w: World) -> None:
@@ -224,10 +237,11 @@
         await w.accepted(second)
         await ended(w, [ref, second], 60.0)
 
-    play(scenario, old=True)
+    play(scenario, old=old)
 
 
-def test_markers_are_ignored_by_production_and_stay():
+@any_old
+def test_markers_are_ignored_by_production_and_stay(old):
     async def scenario(w: World) -> None:
         await w.upgrade("n0")
         await asyncio.sleep(4.0)
@@ -235,6 +249,6 @@
         ref = w.job(1, run_s=3.0)
         await w.accepted(ref, "n1")
         await ended(w, [ref])
-        assert keys.FORMAT + "n1" not in w.service.keys
+        assert w.service.keys.get(keys.FORMAT + "n1", (None,))[0] == (None if old == 1 else {"format": 2})
 
-    play(scenario, old=True)
+    play(scenario, old=old)
--- a/tests/world.py
+++ b/tests/world.py
@@ -16,7 +16,7 @@
 
 import cbor2
 from conftest import description
-from production import ProductionNode
+from production import OLD_NODES
 
 from hookwall.client import NoAnswer
 from hookwall.node import Node
@@ -461,12 +461,13 @@
 
     # -- nodes -----------------------------------------------------------------------------------
 
-    def start(self, name: str, old: bool = False) -> Node:
+    def start(self, name: str, old: int = 0) -> Node:
+        """Start a node's process; `old`: the format that its program knows, 0 for the current program."""
         seeds = [Seed(n, f"127.0.0.1:{7000 + i}") for i, n in enumerate(self.names) if n != name]
         services = External("127.0.0.1:1", "127.0.0.1:2")
         settings = Settings(name, "127.0.0.1:7100", "127.0.0.1:7200", services, self.params, seeds)
         if old:
-            node = ProductionNode(settings, self.now, self.now, self.broken)
+            node = OLD_NODES[old](settings, self.now, self.now, self.broken)
         else:
             node = Node(settings, self.now, self.now)
         node.store.call = lambda session, method, url, body, t: self.service.call(name, method, path(url), body, t)
@@ -808,11 +809,11 @@
 
 
 def play(
-    scenario: Callable[[World], Coroutine[Any, Any, Any]], machines: int = 4, old: bool = False, **limits: Any
+    scenario: Callable[[World], Coroutine[Any, Any, Any]], machines: int = 4, old: int = 0, **limits: Any
 ) -> World:
     """Run a scenario in a world whose nodes have a leader and whose machines report; no rule may break.
 
-    `old`: the nodes begin with the version in production.
+    `old`: the nodes begin with a program that knows this format only.
     """
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
--- a/tools/golden_samples.py
+++ b/tools/golden_format_1.py
@@ -1,10 +1,10 @@
-"""Prints samples of what a version stores and sends, made by that version's own code, as JSON.
+"""Prints samples of what a program of format 1 stores and sends, made by its own code, as JSON.
 
-    git worktree add /tmp/production COMMIT
-    python tools/golden_samples.py /tmp/production > tests/golden/production.json
+    git worktree add /tmp/format_1 e723b3b
+    python tools/golden_format_1.py /tmp/format_1 > tests/golden/format_1.json
 
-The samples are test data: newer versions have to read them (`tests/test_compatibility.py`). This works on the
-version that `deploy/service.toml` names as `production`; names of its modules are those of that version.
+The samples are test data: newer versions have to read them (`tests/test_compatibility.py`). Format 1 was in production
+up to e723b3b; names of its modules are those of that version. `golden_format_2.py` does the same for the next format.
 """
 
 import asyncio
