Renting split by duty; the machine list no longer holds up rentals; three leftovers; histories of pipelines and upgrades

- renting (560 lines) is now machine_list, supply, demand, returning and renting.
Decisions are as before.
- The machine list has a loop of its own: at 4,000 machines its 8 pages took 3.5 of each 4 s, and what was to be rented waited for its end.
It takes half of the cloud's requests at most, so it comes every 7 s there and every 4 s as before up to some 2,000 machines.
Its content counts from when it was asked for.
- fleet.lease_ended forgets deleted machines; a record that stays unreadable no longer holds up the other ones; what follows from missed changes of keepers' keys stands once.
Each has a test that failed before, but the last, a move.
- tests/test_cost.py counts operations of a report, poll, ping and kept lease at 400 and 4,000 machines.

--- a/hookwall/cloud_client.py
+++ b/hookwall/cloud_client.py
@@ -23,6 +23,8 @@
 class CloudClient:
     """Requests to the cloud, paced below its limit."""
 
+    page_size = 500  # the most machines in one answer to a list
+
     def __init__(self, address: str, rps: float, clock: Callable[[], float]) -> None:
         self.base = f"http://{address}"
         self.session: aiohttp.ClientSession | None = None
@@ -49,10 +51,12 @@
         return _as(body, Catalog)
 
     async def machines(self) -> list[wire.Listed]:
+        """The list, page after page; other requests go out in between."""
         found: list[wire.Listed] = []
         after = ""
         while True:
-            status, body = await self._send("GET", f"/hosts?after={after}&most=500" if after else "/hosts?most=500")
+            start = f"after={after}&" if after else ""
+            status, body = await self._send("GET", f"/hosts?{start}most={self.page_size}")
             if status != 200:
                 raise Trouble(f"status {status}")
             page = _as(body, MachineList)
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -228,6 +228,7 @@
         self.become(m, Phase.GONE, why)
         self.machines.pop(m.name, None)
         self.deleted.add(m.name)
+        self.lease_ended.discard(m.name)  # whoever kept its lease, nothing runs there
 
     # -- images --------------------------------------------------------------------------------
 
--- a/hookwall/job_writer.py
+++ b/hookwall/job_writer.py
@@ -240,9 +240,15 @@
         machines that another value named meanwhile were kept as well.
         """
         log.info("keepers have changed; decisions that are not stored are void")
-        if not await self._watched(epoch):
-            await self._read_keepers(changed)
-            self.kept.missed()
+        if await self._watched(epoch):
+            self.table.revert()
+            return
+        await self._read_keepers(changed)
+        self.any_lease_may_be_kept()
+
+    def any_lease_may_be_kept(self) -> None:
+        """Keepers' keys may have come and gone unseen: what was decided on leases that seemed to be over is void."""
+        self.kept.missed()
         self.table.revert()
 
     async def _watched(self, epoch: int) -> bool:
@@ -266,7 +272,7 @@
 
     async def _read_incomplete(self) -> None:
         """Read a record again whose parts have not been seen: until then nothing of the job is started."""
-        ref = next(iter(self.table.parts.incomplete))
+        ref = self.table.parts.next_incomplete()
         try:
             await self.refresh(keys.JOBS + ref)
         except (Refused, Unknown) as error:
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -58,7 +58,7 @@
         self.client = CloudClient(settings.external.cloud, params.cloud.rps, clock)
         self.renting = Renting(params, self.fleet, self.scheduler, self.client, clock)
         self.renting.fresh = lambda: self.leadership.first and self.no_catalog
-        self.renting.stuck = lambda: not self.store.healthy()
+        self.renting.demand.stuck = lambda: not self.store.healthy()
         self.renting.on_catalog = self._catalog
         self.leadership = Leadership(
             settings.node_name, params.size, [Peer(s) for s in settings.seeds], self.store, clock,
@@ -158,9 +158,7 @@
         found, epoch = await self.store.scan(keys.ROOT)
         self._keepers_missing(found)
         if self.leadership.role is Role.LEADER:
-            # Changes were missed, so a keeper's key may have come and gone.
-            self.fleet.kept.missed()
-            self.table.revert()
+            self.writer.any_lease_may_be_kept()  # changes were missed
         leader = False
         for key, value, stamp in found:
             leader = leader or key == keys.LEADER
@@ -373,6 +371,7 @@
             **({"fence": lead.fence.run} if lead.fence is not None else {}),
             "lead": lambda: lead.run(lambda: bool(self.fleet.machines)),
             "keep": self.keeper.run,
+            "list": lambda: self.renting.lists.run(lead.valid),
             "rent": lambda: self.renting.run(lead.valid, lambda: lead.token),
             **(more or {}),
         }
--- a/hookwall/part_table.py
+++ b/hookwall/part_table.py
@@ -43,6 +43,12 @@
         if stamp > self.incomplete.get(ref, (None, -1))[1]:
             self.incomplete[ref] = (value, stamp)
 
+    def next_incomplete(self) -> str:
+        """One of the jobs whose record can't be read; each in turn, as one may stay unreadable for ever."""
+        ref = next(iter(self.incomplete))
+        self.incomplete[ref] = self.incomplete.pop(ref)
+        return ref
+
     def complete(self, ref: str) -> None:
         """A job's newest record could be read."""
         self.incomplete.pop(ref, None)
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -97,6 +97,11 @@
         self.world, self.random = world, random.Random(seed)
         self.log: list[str] = []
 
+    def restart(self, name: str) -> None:
+        """A process that has ended begins again."""
+        if name not in self.world.nodes:
+            self.world.start(name)
+
     def note(self, what: str) -> None:
         self.log.append(f"{self.world.now():.1f} {what}")
 
@@ -122,8 +127,7 @@
         self.note(f"{name} ends, back in {down_s:.1f}")
         self.world.crash(name)
         await asyncio.sleep(down_s)
-        if name not in self.world.nodes:
-            self.world.start(name)
+        self.restart(name)
 
     async def stand_still(self) -> None:
         name, for_s = self.node(), self.span(0.5, 9.0)
@@ -300,7 +304,9 @@
         await trouble()
 
 
-def broken_by(seed: int, quiet: bool = True) -> tuple[int, list[str], list[str]]:
+def broken_in(
+    kind: type[History], invariants: type[Invariants], seed: int, quiet: bool, **world: Any
+) -> tuple[int, list[str], list[str]]:
     """Play the history of a seed: what it broke, and its troubles."""
     if quiet:
         logging.disable(logging.CRITICAL)
@@ -308,8 +314,8 @@
     log: list[str] = []
 
     async def scenario(world: World) -> None:
-        history = History(world, seed)
-        Invariants(world).watch()
+        history = kind(world, seed)
+        invariants(world).watch()
         try:
             await history.play(world)
         finally:
@@ -317,15 +323,20 @@
             log.extend(history.log)
             world.broken.clear()
 
-    play(scenario, machines=MACHINES)
+    play(scenario, **world)
     return seed, found, log
 
 
-def main(first: int, last: int) -> int:
+def broken_by(seed: int, quiet: bool = True) -> tuple[int, list[str], list[str]]:
+    """Play a history of troubles."""
+    return broken_in(History, Invariants, seed, quiet, machines=MACHINES)
+
+
+def play_range(broken: Callable[[int], tuple[int, list[str], list[str]]], first: int, last: int) -> int:
     """Play a range of seeds on all cores."""
     failed = 0
     with ProcessPoolExecutor() as pool:
-        for seed, found, log in pool.map(broken_by, range(first, last), chunksize=4):
+        for seed, found, log in pool.map(broken, range(first, last), chunksize=4):
             if found:
                 failed += 1
                 print(f"seed {seed}", *found, *log, sep="\n    ", flush=True)
@@ -334,4 +345,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
+    sys.exit(play_range(broken_by, int(sys.argv[1]), int(sys.argv[2])))
--- /dev/null
+++ b/tests/test_cost.py
@@ -0,0 +1,119 @@
+"""What one report, poll, hint or list costs must not grow with the fleet: operations are counted, not seconds."""
+
+import sys
+from collections.abc import Callable
+
+import msgspec
+import pytest
+from conftest import description
+
+from hookwall import keys
+from hookwall.node import Node
+from hookwall.peers import MAX_FRAME, frame
+from hookwall.promise import PROMISE_S
+from hookwall.roles import Mode, Role
+from hookwall.settings import External, Seed, Settings
+
+FLEETS = (400, 4000)
+
+
+def operations(work: Callable[[], object]) -> int:
+    """How many calls of Python and built-in functions `work` makes."""
+    count = 0
+
+    def profile(frame, event, argument) -> None:
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(profile)
+    try:
+        work()
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+def report(number: int, tick: int) -> bytes:
+    tasks = [{"piece": f"run-{number:06d}/0", "try": 1, "phase": "running"}]
+    return msgspec.json.encode(
+        {"host": f"vm-{number:06d}", "hull": "g4", "yard": "east", "tenure": 1, "tick": tick, "mandate": 5,
+         "pieces": tasks}
+    )  # fmt: skip
+
+
+def leading(params, clock, machines: int) -> Node:
+    """A leader with a job running on each machine of a fleet."""
+    seeds = [Seed(f"n{i}", f"127.0.0.1:{7000 + i}") for i in (1, 2)]
+    services = External("127.0.0.1:1", "127.0.0.1:2")
+    node = Node(Settings("n0", "127.0.0.1:7100", "127.0.0.1:7200", services, params, seeds), clock)
+    lead = node.leadership
+    lead.role, lead.mode, lead.token, lead.hold_until = Role.LEADER, Mode.PROMISE, 5, clock() + 60.0
+    lead.acks = {"n1": clock()}
+    lead.promise.holder, lead.promise.until = "n0", clock() + PROMISE_S
+    for number in range(machines):
+        record = {"phase": "open", "n": 1, "next": 2, "on": [[f"vm-{number:06d}", 1, 1, "0"]], "at": 1.0, "done": ""}
+        node.table.apply(f"{keys.JOBS}run-{number:06d}", {**record, "spec": description(number)}, 3 + number)
+    node.fleet.reset(5)
+    node.cancellations.read(clock())
+    for number in range(machines):
+        node.take_beat(report(number, 1))
+    return node
+
+
+@pytest.fixture
+def fleets(params, clock):
+    return [leading(params, clock, machines) for machines in FLEETS]
+
+
+def test_a_report_costs_the_same_in_any_fleet(fleets):
+    small, large = (operations(lambda node=node: node.take_beat(report(7, 2))) for node in fleets)
+    assert 0 < large <= small
+
+
+def test_a_poll_costs_the_same_in_any_fleet(fleets):
+    def poll(node: Node) -> None:
+        answer = node.api._state(node.table.jobs["run-000007"])
+        with pytest.raises(StopIteration):
+            answer.send(None)
+
+    small, large = (operations(lambda node=node: poll(node)) for node in fleets)
+    assert 0 < large <= small
+
+
+def test_an_answer_to_a_ping_costs_the_same_in_any_fleet(fleets):
+    ping = {"t": "ping", "n": "n1", "tok": 4, "sok": True, "pos": 3}
+    small, large = (operations(lambda node=node: node.leadership.handle(ping)) for node in fleets)
+    assert 0 < large <= small
+
+
+def test_a_kept_lease_costs_the_same_in_any_fleet(fleets):
+    """A follower answers a worker whose name its key has already."""
+    for node in fleets:
+        node.keeper.kept = set(node.fleet.machines)
+    small, large = (operations(lambda node=node: node.keeper.valid("vm-000007")) for node in fleets)
+    assert 0 < large <= small
+
+
+def test_the_machine_list_takes_half_of_the_cloud_s_requests_at_most(fleets, params):
+    for node in fleets:
+        lists = node.renting.lists
+        pages = -(-len(node.fleet.machines) // lists.client.page_size)
+        assert lists.every_s() >= max(4.0, 2 * pages / params.cloud.rps)
+    assert fleets[0].renting.lists.every_s() == 4.0, "small fleets are listed as often as before"
+
+
+def test_rounds_of_a_full_fleet_cost_a_few_operations_a_machine(fleets):
+    """A round looks at each machine's free capacity. What it does beside that is bounded by its budget of time."""
+    costs = []
+    for node in fleets:
+        node.fleet.expire(node.clock())
+        costs.append(operations(lambda node=node: node.fleet.expire(node.clock())))
+    assert costs[1] <= 5 * FLEETS[1]
+
+
+def test_hints_to_the_next_leader_have_a_bounded_size(fleets):
+    for node in fleets:
+        for machine in node.fleet.machines.values():
+            for image in range(12):
+                machine.images[node.fleet.images.of(f"img-{image:03d}")] = 4.0
+        assert len(frame({"t": "ping", "hint": node.fleet.hints.tell()})) < MAX_FRAME
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -454,3 +454,18 @@
     cluster.fleet.reset(6)
     assert job.active[0].stop_grace is None and job.active[0].phase == "running"
     assert cluster.beat("vm-1", running(job), token=6) == []
+
+
+def test_a_deleted_machine_is_not_remembered_for_its_lease(cluster):
+    """A key that names it afterwards says nothing about a decision: nothing runs there, whoever kept its lease."""
+    cluster.submit(1)
+    cluster.beat("vm-1")
+    cluster.scheduler.round()
+    cluster.store()
+    cluster.beat("vm-1", [("run-000001/0", 1, "running", None)])
+    cluster.clock.tick(cluster.fleet.lease_gone + 1.0)
+    cluster.fleet.expire(cluster.clock())
+    machine = cluster.fleet.machines["vm-1"]
+    assert cluster.fleet.lease_ended == {"vm-1"}
+    cluster.fleet.gone(machine, "deleted")
+    assert not cluster.fleet.was_wrong(frozenset({"vm-1"})) and not cluster.fleet.lease_ended
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -1,5 +1,6 @@
-"""Random histories of overlapping troubles, the same in each run: `tests/histories.py` says what is checked."""
+"""Random histories, the same in each run: `histories.py` and `pipeline_histories.py` say what is checked."""
 
+import pipeline_histories
 import pytest
 from histories import broken_by
 
@@ -10,3 +11,9 @@
 def test_no_history_breaks_an_invariant(seed):
     _, broken, log = broken_by(seed, quiet=False)
     assert not broken, log
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_history_of_pipelines_and_upgrades_breaks_a_rule(seed):
+    _, broken, log = pipeline_histories.broken_by(seed, quiet=False)
+    assert not broken, log
--- a/tests/test_job_writer.py
+++ b/tests/test_job_writer.py
@@ -14,7 +14,7 @@
 from hookwall.kept import Kept
 from hookwall.records import JobRecord, encode
 from hookwall.roles import Role
-from hookwall.store import Conflict
+from hookwall.store import Conflict, Unknown
 from hookwall.wire import JobSpec
 
 KEY = keys.JOBS + "run-000001"
@@ -191,3 +191,23 @@
     leads.table.parts.await_parts("run-000002", {}, 12)
     asyncio.run(run())
     assert read == [keys.JOBS + "run-000002"]
+
+
+def test_a_record_that_stays_unreadable_holds_up_no_other(writer):
+    """The first in the list was always the one that was read again."""
+    asked: list[str] = []
+
+    async def refresh(key):
+        asked.append(key)
+        raise Unknown("parts of a record are missing")
+
+    writer.refresh = refresh
+    for n in (1, 2, 3):
+        writer.table.parts.await_parts(f"run-{n:06d}", {"packed": {"fixed": ["gone"], "state": "x"}}, 20)
+
+    async def several():
+        for _ in range(4):
+            await writer._read_incomplete()
+
+    asyncio.run(several())
+    assert asked == [f"{keys.JOBS}run-{n:06d}" for n in (1, 2, 3, 1)]
--- a/tests/test_renting.py
+++ b/tests/test_renting.py
@@ -3,12 +3,13 @@
 import asyncio
 
 import pytest
+from world import VirtualLoop
 
 from hookwall import wire
 from hookwall.cloud_client import NoCapacity, Trouble
 from hookwall.job import WITHDRAWN
 from hookwall.machine import Phase
-from hookwall.renting import Renting
+from hookwall.renting import SETTLE_S, Renting
 
 
 class ScriptedCloud:
@@ -33,8 +34,8 @@
     cluster.beat("vm-1")
     cluster.clock.tick(100.0)
     cluster.beat("vm-1")
-    renting.measure(cluster.clock())
-    renting.trim(cluster.clock())
+    renting.demand.measure(cluster.clock())
+    renting.returning.trim(cluster.clock())
 
 
 def test_waiting_jobs_are_packed_into_what_is_rented(cluster, renting):
@@ -68,9 +69,9 @@
 
     renting.client.answer = refuse
     hire = Hire("hw-5-1", (0, 0, False), 2)
-    renting.hires.append(hire)
+    renting.supply.hires.append(hire)
     asyncio.run(renting._hire(hire))
-    assert (0, 0, False) not in renting.pools(cluster.clock()) and not renting.hires
+    assert (0, 0, False) not in renting.pools(cluster.clock()) and not renting.supply.hires
     cluster.clock.tick(31.0)
     assert (0, 0, False) in renting.pools(cluster.clock())
 
@@ -83,14 +84,14 @@
 
     renting.client.answer = lose
     hire = Hire("hw-5-1", (0, 0, False), 2)
-    renting.hires.append(hire)
+    renting.supply.hires.append(hire)
     with pytest.raises(Trouble):
         asyncio.run(renting._hire(hire))
-    assert renting.hires == [hire] and len(renting.coming(cluster.clock())) == 2
+    assert renting.supply.hires == [hire] and len(renting.supply.coming(cluster.clock())) == 2
 
 
 def test_unexpected_machines_are_taken_in(cluster, renting):
-    renting.take_list([wire.Listed(name="vm-77", type="g4", zone="west", phase="running")], cluster.clock())
+    renting.lists.take([wire.Listed(name="vm-77", type="g4", zone="west", phase="running")], cluster.clock())
     assert cluster.fleet.machines["vm-77"].phase is Phase.BOOTING
     cluster.beat("vm-77", zone="west")
     job = cluster.submit(1)
@@ -100,7 +101,7 @@
 
 def test_an_idle_machine_is_returned_and_gets_no_more_work(cluster, renting):
     idle_beyond_need(cluster, renting)
-    (m,) = renting.to_return(cluster.clock())
+    (m,) = renting.returning.to_return(cluster.clock())
     assert m.phase is Phase.LEAVING
     job = cluster.submit(1)
     cluster.scheduler.round()
@@ -111,8 +112,8 @@
     idle_beyond_need(cluster, renting)
     job = cluster.submit(1)
     cluster.scheduler.round()
-    renting.measure(cluster.clock())
-    renting.trim(cluster.clock())
+    renting.demand.measure(cluster.clock())
+    renting.returning.trim(cluster.clock())
     cluster.scheduler.round()
     assert job.active
 
@@ -128,31 +129,31 @@
     cluster.scheduler.round()
     for zone in (0, 1):
         renting._close((0, zone, False))
-    renting.measure(cluster.clock())
+    renting.demand.measure(cluster.clock())
     assert renting.standby(cluster.clock()) == {}, "and none is rented for it"
-    renting.trim(cluster.clock())
+    renting.returning.trim(cluster.clock())
     assert {m.phase for m in cluster.fleet.machines.values()} == {Phase.DRAINING}
     # As soon as work waits that may use them, they are.
     cluster.submit(2, pieces=40, loaners=True)
     cluster.scheduler.round()
-    renting.trim(cluster.clock())
+    renting.returning.trim(cluster.clock())
     assert {m.phase for m in cluster.fleet.machines.values()} == {Phase.UP}
 
 
 def test_a_margin_stands_ready_while_jobs_arrive_and_goes_when_they_stop(cluster, renting):
-    renting.unmeasured = False
+    renting.demand.unmeasured = False
     for n in range(1, 5):
         cluster.beat(f"vm-{n}")
         cluster.submit(n, shape="ensemble", cards=4.0)
         cluster.scheduler.round()
-        renting.measure(cluster.clock())
-    assert renting.targets.solid > 4.0 + 1.0
+        renting.demand.measure(cluster.clock())
+    assert renting.demand.targets.solid > 4.0 + 1.0
     plan = renting.standby(cluster.clock())
     assert sum(n for (_, _, spot), n in plan.items() if not spot) >= 1
     for _ in range(300):
         cluster.clock.tick(1.0)
-        renting.measure(cluster.clock())
-    assert renting.targets.solid == pytest.approx(4.0, abs=0.25)
+        renting.demand.measure(cluster.clock())
+    assert renting.demand.targets.solid == pytest.approx(4.0, abs=0.25)
 
 
 def test_a_silent_cheap_machine_is_deleted_before_its_lease_is_over(cluster, renting):
@@ -166,7 +167,7 @@
         cluster.beat("vm-2", spot=True)
         cluster.beat("vm-3", spot=True)
         cluster.fleet.expire(cluster.clock())
-    (m,) = renting.to_return(cluster.clock())
+    (m,) = renting.returning.to_return(cluster.clock())
     assert m.name == "vm-1" and len(job.active) == 12
     cluster.fleet.gone(m, "deleted")
     assert len(job.active) == 8
@@ -180,9 +181,9 @@
         cluster.clock.tick(1.0)
         cluster.beat("vm-8", zone="east")
         cluster.fleet.expire(cluster.clock())
-    assert [m.name for m in renting.to_return(cluster.clock())] == ["vm-9"]
+    assert [m.name for m in renting.returning.to_return(cluster.clock())] == ["vm-9"]
     cluster.clock.tick(80.0)
-    assert len(renting.to_return(cluster.clock())) == 5
+    assert len(renting.returning.to_return(cluster.clock())) == 5
 
 
 def test_a_machine_with_tasks_is_kept(cluster, renting):
@@ -191,20 +192,20 @@
     cluster.scheduler.round()
     cluster.clock.tick(200.0)
     cluster.beat("vm-1")
-    assert renting.to_return(cluster.clock()) == []
+    assert renting.returning.to_return(cluster.clock()) == []
 
 
 def test_a_machine_that_never_comes_up_is_deleted(cluster, renting):
     cluster.fleet.machine("vm-5", "g4", "east", False)
     cluster.clock.tick(25.0 * 5 + 1)
-    assert [m.name for m in renting.to_return(cluster.clock())] == ["vm-5"]
+    assert [m.name for m in renting.returning.to_return(cluster.clock())] == ["vm-5"]
 
 
 def test_a_late_list_does_not_bring_a_deleted_machine_back(cluster, renting):
     """It would count as one that is coming, and nothing would be rented in its place."""
     cluster.beat("vm-1")
     cluster.fleet.gone(cluster.fleet.machines["vm-1"], "deleted")
-    renting.take_list([wire.Listed(name="vm-1", type="g4", zone="east", phase="running")], cluster.clock())
+    renting.lists.take([wire.Listed(name="vm-1", type="g4", zone="east", phase="running")], cluster.clock())
     assert "vm-1" not in cluster.fleet.machines
 
 
@@ -218,7 +219,7 @@
         cluster.clock.tick(0.25)
         cluster.beat("vm-9", zone="east")
         cluster.fleet.expire(cluster.clock())
-        assert renting.to_return(cluster.clock()) == []
+        assert renting.returning.to_return(cluster.clock()) == []
     assert any(m.silent for m in cluster.fleet.machines.values())
 
 
@@ -230,12 +231,12 @@
     cluster.submit(1, cards=0.0, cores=12.0, pieces=2, spot=False)
     cluster.submit(2, cards=1.0, pieces=4)
     cluster.scheduler.round()
-    renting.unmeasured = False
-    renting.measure(cluster.clock())
+    renting.demand.unmeasured = False
+    renting.demand.measure(cluster.clock())
     names = {cluster.fleet.types.names[t]: n for (t, _, _), n in renting.wanted(cluster.clock()).items()}
     assert names == {"c16": 2, "g4": 1}
     renting.standby(cluster.clock())
-    renting.trim(cluster.clock())
+    renting.returning.trim(cluster.clock())
 
 
 def test_machines_that_only_records_name_do_not_stand_ready_once_lists_lack_them(cluster, renting):
@@ -246,14 +247,14 @@
     cluster.fleet.reset(token=9)
     renting.reset()
     cluster.fleet.begin(cluster.clock())
-    renting.take_list([], cluster.clock())
+    renting.lists.take([], cluster.clock())
     assert job.active and "vm-1" in cluster.fleet.machines
-    assert renting.standing(cluster.clock()) == (0, 0)
+    assert renting.supply.standing(cluster.clock()) == (0, 0)
     # It is deleted only when even the latest list must have named it, and then its task is free.
-    assert renting.to_return(cluster.clock()) == []
+    assert renting.returning.to_return(cluster.clock()) == []
     cluster.clock.tick(12.0)
-    renting.take_list([], cluster.clock())
-    assert [m.name for m in renting.to_return(cluster.clock())] == ["vm-1"]
+    renting.lists.take([], cluster.clock())
+    assert [m.name for m in renting.returning.to_return(cluster.clock())] == ["vm-1"]
 
 
 def test_a_new_leader_does_not_count_on_machines_that_never_come_to_it(cluster, renting):
@@ -261,16 +262,16 @@
     cluster.fleet.reset(token=9)
     renting.reset()
     cluster.fleet.begin(cluster.clock())
-    renting.take_list(listed, cluster.clock())
-    assert renting.standing(cluster.clock()) == (4, 4)
+    renting.lists.take(listed, cluster.clock())
+    assert renting.supply.standing(cluster.clock()) == (4, 4)
     cluster.clock.tick(13.0)
-    renting.take_list(listed, cluster.clock())
+    renting.lists.take(listed, cluster.clock())
     cluster.fleet.expire(cluster.clock())
-    assert renting.standing(cluster.clock()) == (0, 0)
+    assert renting.supply.standing(cluster.clock()) == (0, 0)
     # A whole zone is rather cut off than dead.
     cluster.clock.tick(60.0)
-    renting.take_list(listed, cluster.clock())
-    assert renting.to_return(cluster.clock()) == []
+    renting.lists.take(listed, cluster.clock())
+    assert renting.returning.to_return(cluster.clock()) == []
 
 
 def test_a_plan_asks_each_pool_for_one_full_call_and_spills_into_no_dearer_one(cluster, renting):
@@ -283,18 +284,18 @@
 def test_need_that_falls_since_nothing_can_be_stored_is_not_believed(cluster, renting):
     job = cluster.submit(1, shape="ensemble", cards=4.0, pieces=3)
     cluster.scheduler.round()
-    renting.measure(cluster.clock())
-    before = renting.targets
+    renting.demand.measure(cluster.clock())
+    before = renting.demand.targets
     assert before.solid >= 3.0
     job.phase = "done"
-    renting.stuck = lambda: True
+    renting.demand.stuck = lambda: True
     cluster.clock.tick(10.0)
     cluster.scheduler.round()
-    renting.measure(cluster.clock())
-    assert renting.targets == before
-    renting.stuck = lambda: False
-    renting.measure(cluster.clock())
-    assert renting.targets.solid < 3.0
+    renting.demand.measure(cluster.clock())
+    assert renting.demand.targets == before
+    renting.demand.stuck = lambda: False
+    renting.demand.measure(cluster.clock())
+    assert renting.demand.targets.solid < 3.0
 
 
 def test_a_machine_whose_lease_ended_with_cancelled_tasks_is_deleted_before_they_could_go_on(cluster, renting):
@@ -309,8 +310,43 @@
     assert off.phase == WITHDRAWN
     cluster.clock.tick(13.0)
     cluster.fleet.expire(cluster.clock())
-    assert [m.name for m in renting.to_return(cluster.clock())] == [at[off.ref]]
+    assert [m.name for m in renting.returning.to_return(cluster.clock())] == [at[off.ref]]
     # One that is heard in a later session has nothing any more.
     cluster.fleet.become(cluster.fleet.machines[at[off.ref]], Phase.UP, "back")
     cluster.beat(at[off.ref], tenure=2, tick=1)
-    assert renting.to_return(cluster.clock()) == []
+    assert renting.returning.to_return(cluster.clock()) == []
+
+
+def test_a_rental_does_not_wait_for_a_machine_list_of_many_pages(cluster, renting):
+    """At 4,000 machines a list took 3.5 of each 4 s, and what was to be rented waited for its end."""
+    cloud, loop = renting.client, VirtualLoop()
+    cloud.page_size, cloud.listings = 500, 0
+    # What decides and what waits follow the same clock.
+    renting.clock = renting.lists.clock = renting.demand.clock = renting.supply.clock = loop.time
+    cluster.fleet.clock = cluster.scheduler.clock = loop.time
+
+    async def catalog():
+        return cluster.fleet.catalog
+
+    async def machines():
+        cloud.listings += 1
+        await asyncio.sleep(3.5 if cloud.listings > 1 else 0.1)
+        return []
+
+    async def scenario():
+        cloud.catalog, cloud.machines = catalog, machines
+        renting.reset()
+        loops = [renting.run(lambda: True, lambda: 5), renting.lists.run(lambda: True)]
+        running = [loop.create_task(work) for work in loops]
+        while cloud.listings < 2 or loop.time() - renting.began_at < SETTLE_S:
+            await asyncio.sleep(0.1)
+        begun = cloud.listings
+        cluster.submit(1, pieces=4)
+        cluster.scheduler.round()
+        await asyncio.sleep(1.5)
+        assert cloud.asked and cloud.listings == begun, "the list that was under way is still"
+        for task in running:
+            task.cancel()
+
+    loop.run_until_complete(scenario())
+    loop.close()
