--- a/hookwall/cloud_client.py
+++ b/hookwall/cloud_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import TypeVar
 
 import aiohttp
 import msgspec
@@ -11,6 +12,8 @@
 from hookwall.pacing import Bucket
 from hookwall.wire import BadMessage, Catalog, MachineList, Rented
 
+Message = TypeVar("Message")
+
 
 class Trouble(Exception):
     """The cloud gave no usable answer."""
@@ -80,7 +83,7 @@
             raise Trouble(f"status {status}")
 
 
-def _as(body: object, kind: type) -> object:
+def _as(body: object, kind: type[Message]) -> Message:
     try:
         return wire.convert(body, kind)
     except BadMessage as e:
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -330,18 +330,11 @@
     ) -> bool:
         """One task of a report. False if the worker knows nothing of the task once it has the answer."""
         entry = m.entries.get(key)
-        mine = entry is not None and entry[1].attempt == t.attempt
+        if entry is not None and entry[1].attempt != t.attempt:
+            entry = None  # the records name another start of this task
         if t.phase == "exited":
-            if mine:
-                self._exited(m, *entry, t.cause or "", t.saved)
-            job = self.table.jobs.get(key[0])
-            if job is None or job.stored_on.get(key[1]) != (m.name, t.attempt):
-                # Only once the record no longer names this start: a leader that forgot it would
-                # otherwise launch the same attempt again.
-                orders.append(wire.forget(t.piece, t.attempt))
-                return mine
-            return True
-        if not mine:
+            return self._reported_exit(m, key, t, entry, orders)
+        if entry is None:
             unrecorded.add(key)
             orders.append(wire.stop(t.piece, t.attempt, 0.0))
             return True
@@ -361,6 +354,25 @@
             orders.append(wire.stop(t.piece, t.attempt, a.stop_grace))
         return True
 
+    def _reported_exit(
+        self,
+        m: Machine,
+        key: tuple[str, int],
+        t: wire.TaskReport,
+        entry: tuple[Job, Active] | None,
+        orders: list[Order],
+    ) -> bool:
+        """A task of a report that has ended; `entry` is its start, if the records name it."""
+        if entry is not None:
+            self._exited(m, entry[0], entry[1], t.cause or "", t.saved)
+        job = self.table.jobs.get(key[0])
+        if job is not None and job.stored_on.get(key[1]) == (m.name, t.attempt):
+            return True
+        # Only once the record no longer names this start: a leader that forgot it would
+        # otherwise launch the same attempt again.
+        orders.append(wire.forget(t.piece, t.attempt))
+        return entry is not None
+
     def _absent(self, m: Machine, job: Job, a: Active, current: bool, orders: list[Order]) -> None:
         """A start that the records name and the report does not."""
         wanted = job.phase == OPEN and a.stop_grace is None and not a.finished
--- a/hookwall/hints.py
+++ b/hookwall/hints.py
@@ -49,7 +49,7 @@
 
     def recall(self, machine: Machine) -> None:
         """What the last leader told of a machine that this one hears for the first time."""
-        for item in self.told.get(machine.name) or self.told_before.get(machine.name, ()):
+        for item in self.told.get(machine.name) or self.told_before.get(machine.name) or ():
             try:
                 name, gb = item
                 machine.images[self.images.of(str(name))] = float(gb)
--- a/hookwall/job_writer.py
+++ b/hookwall/job_writer.py
@@ -182,7 +182,7 @@
                 self.table.take_part(key, text, written)
                 conditions.append((key, written))
                 del parts[key]
-        put = [*parts.items(), *((keys.JOBS + w.job.ref, w.encoded.value) for w in batch)]
+        put: list[tuple[str, object]] = [*parts.items(), *((keys.JOBS + w.job.ref, w.encoded.value) for w in batch)]
         written = await self.store.commit(conditions, put)
         for key, text in parts.items():
             self.table.take_part(key, text, written)
--- a/hookwall/machine_names.py
+++ b/hookwall/machine_names.py
@@ -24,6 +24,13 @@
     gaps: str
 
 
+class NumberedNames(msgspec.Struct):
+    """All names as they are stored: those in groups, and those that end in no number."""
+
+    groups: list[Group]
+    others: list[str]
+
+
 def encode(names: Iterable[str]) -> dict[str, object]:
     """The names, in a form that `decode` reads; their order is not kept."""
     numbers: dict[tuple[str, int], set[int]] = {}
@@ -36,17 +43,17 @@
         prefix, digits = found.groups()
         numbers.setdefault((prefix, len(digits)), set()).add(int(digits))
     groups = [Group(prefix, digits, _pack(found)) for (prefix, digits), found in sorted(numbers.items())]
-    return {"groups": msgspec.to_builtins(groups), "others": sorted(others)}
+    return msgspec.to_builtins(NumberedNames(groups, sorted(others)))
 
 
 def decode(value: object) -> list[str]:
     """The names that `encode` was given; MalformedRecord for anything else."""
     try:
-        groups = msgspec.convert(value["groups"], list[Group])
-        names = msgspec.convert(value["others"], list[str])
-    except (TypeError, KeyError, msgspec.ValidationError) as error:
+        numbered = msgspec.convert(value, NumberedNames)
+    except msgspec.ValidationError as error:
         raise MalformedRecord(str(error)) from None
-    for group in groups:
+    names = list(numbered.others)
+    for group in numbered.groups:
         names.extend(f"{group.prefix}{number:0{group.digits}d}" for number in _unpack(group.gaps))
     return names
 
--- a/hookwall/preemption.py
+++ b/hookwall/preemption.py
@@ -238,7 +238,7 @@
         self, ask: Ask, room: Room, victims: list[tuple[Job, Active]], want: int, now: float
     ) -> tuple[list[tuple[Job, Active]], int]:
         """The cheapest of the candidates that make room for at least one task."""
-        victims = sorted(victims, key=lambda v: (-v[0].rank, self.loss(*v, now), -v[1].since))
+        victims = sorted(victims, key=lambda v: (-v[0].rank, self.loss(v[0], v[1], now), -v[1].since))
         trial = Room(room.index, room.type, room.zone, room.spot, room.cpus, room.gpus, room.memory)
         had = units(ask, trial)
         chosen: list[tuple[Job, Active]] = []
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import aiohttp
@@ -274,11 +274,11 @@
 
     async def commit(
         self,
-        when: list[tuple[str, int]],
-        put: list[tuple[str, object]] = (),
+        when: Sequence[tuple[str, int]],
+        put: Sequence[tuple[str, object]] = (),
         hold: int | None = None,
         timeout: float = 1.5,
-        delete: list[str] = (),
+        delete: Sequence[str] = (),
     ) -> int:
         """A conditional write (or, without `put` and `delete`, a comparison); returns the epoch."""
         body: dict[str, object] = {"when": [{"k": k, "stamp": s} for k, s in when]}
--- a/hookwall/wire.py
+++ b/hookwall/wire.py
@@ -7,7 +7,7 @@
 import math
 import re
 from functools import lru_cache
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -19,6 +19,9 @@
 RANKS = ("production", "urgent", "standard", "low")
 
 
+Message = TypeVar("Message")
+
+
 class BadMessage(Exception):
     """A message is malformed; the text says how."""
 
@@ -206,7 +209,7 @@
     return msgspec.json.encode(body)
 
 
-def convert(raw: object, kind: type) -> object:
+def convert(raw: object, kind: type[Message]) -> Message:
     """A decoded body as one of the kinds above, or BadMessage."""
     try:
         return msgspec.convert(raw, kind, strict=False)
