--- a/tests/test_formats.py
+++ b/tests/test_formats.py
@@ -43,6 +43,8 @@
     assert state.keys[keys.FORMAT + "n0"][0] == {"format": CURRENT} and gate.markers["n0"].known == CURRENT
     gate.saw(keys.FORMAT + "n0", {"format": 2}, 99)
     assert gate.markers["n0"].known == CURRENT, "what a node's program once knew it still knows"
+    gate.saw(keys.FORMAT + "n0", {"format": 2}, 98)
+    assert gate.markers["n0"].stamp == 99, "an older state of it says nothing"
 
 
 def test_a_marker_that_was_not_seen_is_read_before_it_is_raised(gate, state):
--- /dev/null
+++ b/tests/test_voter.py
@@ -0,0 +1,143 @@
+"""A node's new process supports nobody before votes of its earlier processes are void."""
+
+import asyncio
+
+import pytest
+
+from hookwall import keys
+from hookwall.leadership import Leadership
+from hookwall.promise import PROMISE_S
+from hookwall.roles import Role
+from hookwall.store import Unknown
+from hookwall.voter import VoterFence
+
+MY_KEY = keys.VOTER + "n0"
+
+
+class Peer:
+    """Answers votes and pings with yes, and what is given."""
+
+    def __init__(self, name, **fields) -> None:
+        self.name, self.fields, self.before_answer = name, fields, lambda: None
+
+    async def call(self, message, timeout=1.0):
+        self.before_answer()
+        return {"ok": True, "sok": True, "top": 0, **self.fields}
+
+
+@pytest.fixture
+def lead(state, clock):
+    """A node whose process began long ago, and has not written its key."""
+
+    async def load():
+        return None
+
+    peers = [Peer("n1", fence=3), Peer("n2")]
+    lead = Leadership("n0", 3, peers, state, clock, load, lambda role: None)
+    lead.fence = VoterFence("n0", state, lead.saw_key_behind_fence)
+    state.epoch = 3
+    state.keys[keys.VOTER + "n1"] = ({"process": 1}, 3)
+    clock.tick(PROMISE_S * 2)
+    lead.saw_key({}, 0, 3)
+    return lead
+
+
+async def put_up(fence, for_s=0.05):
+    """Let the fence's loop run until it holds, or for a while."""
+    running = asyncio.get_running_loop().create_task(fence.run())
+    async with asyncio.timeout(2.0):
+        while not fence.stamp and for_s > 0:
+            await asyncio.sleep(0.01)
+            for_s -= 0.01
+    running.cancel()
+
+
+def test_nobody_is_supported_before_the_key_is_written(lead):
+    vote, ping = {"t": "vote", "n": "n1", "campaign": 1}, {"t": "ping", "n": "n1", "tok": 4}
+    assert not lead.handle(vote)["ok"] and not lead.handle(ping)["ok"] and not lead.campaign.may_begin()
+    asyncio.run(put_up(lead.fence))
+    assert lead.campaign.may_begin() and lead.handle(vote)["ok"]
+
+
+def test_a_node_that_the_service_refuses_votes_and_supports_all_the_same(lead, state):
+    """Nobody could lead if nodes restarted in an outage."""
+    state.mode = "down"
+    asyncio.run(put_up(lead.fence))
+    assert not lead.fence.stamp
+    answer = lead.handle({"t": "vote", "n": "n1", "campaign": 1})
+    assert answer["ok"] and answer["fence"] == 0
+    assert lead.handle({"t": "ping", "n": "n1", "tok": 4})["ok"]
+
+
+def test_a_vote_names_the_stamp_of_the_voter_s_key(lead, state):
+    asyncio.run(put_up(lead.fence))
+    answer = lead.handle({"t": "vote", "n": "n1", "campaign": 1})
+    assert answer["ok"] and answer["fence"] == state.keys[MY_KEY][1] > 0
+
+
+@pytest.mark.parametrize("restarted", [None, "n0", "n1", "n2"])
+def test_the_leader_key_is_written_only_if_no_voter_has_restarted(lead, state, restarted):
+    """n2 runs an older program and names no key; n1's and the candidate's own are conditions."""
+
+    async def campaign():
+        await put_up(lead.fence)
+        if restarted is not None:
+            state.epoch += 1
+            state.keys[keys.VOTER + restarted] = ({"process": 9}, state.epoch)
+        await lead.campaign.run()
+
+    asyncio.run(campaign())
+    assert (lead.role is Role.LEADER) == (restarted in (None, "n2"))
+    assert (keys.LEADER in state.keys) == (restarted in (None, "n2"))
+
+
+def test_the_leader_key_is_read_after_the_fence_and_before_anybody_is_supported(lead, state):
+    """A forgotten vote's write may have happened just before: its key is the one that counts."""
+    write = state.commit
+
+    async def commit_after_a_late_write(when, put=(), **more):
+        if put[0][0] == MY_KEY:
+            state.epoch += 1
+            state.keys[keys.LEADER] = ({"node": "n2", "mode": "promise"}, state.epoch)
+        return await write(when, put, **more)
+
+    state.commit = commit_after_a_late_write
+    asyncio.run(put_up(lead.fence))
+    assert lead.key.node == "n2"
+    assert not lead.handle({"t": "ping", "n": "n1", "tok": lead.key.stamp - 1})["ok"]
+    assert lead.handle({"t": "ping", "n": "n2", "tok": lead.key.stamp})["ok"]
+
+
+def test_a_leader_whose_key_is_gone_behind_the_fence_is_not_supported_again(lead, state):
+    """A forgotten vote's write may have replaced its key, and be gone again."""
+    state.epoch = 40
+    asyncio.run(put_up(lead.fence))
+    assert not lead.handle({"t": "ping", "n": "n1", "tok": 30})["ok"]
+    assert lead.handle({"t": "ping", "n": "n1", "tok": 42})["ok"]
+
+
+def test_the_key_is_written_on_the_condition_of_what_was_read(lead, state):
+    """A write of an earlier process that is carried out late must not replace the key of this one, or the reverse."""
+    state.keys[MY_KEY] = ({"process": 7}, 2)
+    seen: list[list] = []
+    write = state.commit
+
+    async def commit(when, put=(), **more):
+        seen.append(when)
+        return await write(when, put, **more)
+
+    state.commit = commit
+    asyncio.run(put_up(lead.fence))
+    assert seen == [[(MY_KEY, 2)]] and state.keys[MY_KEY][0] == {"process": lead.fence.process}
+
+
+def test_a_write_without_an_answer_is_known_by_its_process_number(lead, state):
+    async def scenario():
+        state.mode = "ghost"
+        with pytest.raises(Unknown):
+            await lead.fence._write()
+        state.mode = "ok"
+        before = state.keys[MY_KEY]
+        assert await lead.fence._write() == before[1] and state.keys[MY_KEY] == before
+
+    asyncio.run(scenario())
