A job may run on thousands of machines: the number of parts of its record follows the pace and the limits of transactions

It may now take as many parts as two seconds' changes, as its names and as the transaction's conditions allow: 4,000 machines at 16 KiB, 1,000 at 2 KiB with 12 changes. Parts were counted, not measured, when they were sent: a gang of some 2,500 machines would have been sent in transactions of more than 64 KiB, which are refused for ever. New starts count as each on a machine of its own.

--- a/hookwall/confirmer.py
+++ b/hookwall/confirmer.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from hookwall.store import Conflict, Refused, Store, Unknown
+from hookwall.store import CONDITIONS_PER_CHANGE, Conflict, Refused, Store, Unknown
 
 
 class Confirmer:
@@ -16,7 +16,7 @@
     def __init__(self, store: Store, refresh: Callable[[str], Awaitable[None]]) -> None:
         self.store = store
         self.refresh = refresh
-        self.most = max(1, store.limits.least_txn_ops() * 4 - 1)
+        self.most = max(1, store.limits.least_txn_ops() * CONDITIONS_PER_CHANGE - 1)
         self.waiting: dict[str, tuple[int, list[asyncio.Future]]] = {}
         self.wake = asyncio.Event()
 
--- a/hookwall/job_writer.py
+++ b/hookwall/job_writer.py
@@ -17,7 +17,7 @@
 from hookwall.leadership import Leadership
 from hookwall.records import Encoded, RecordTooLarge
 from hookwall.roles import Role
-from hookwall.store import Conflict, Refused, Store, TooLarge, Unknown
+from hookwall.store import CONDITIONS_PER_CHANGE, Conflict, Refused, Store, TooLarge, Unknown
 
 log = logging.getLogger("hookwall.job_writer")
 
@@ -30,7 +30,9 @@
 ENTRY_BYTES = 200  # of a transaction, beside each record
 ALONE_S = 5.0  # so long after a write that was too large, each job is written by itself
 COLLECT_EVERY_S = 5.0
-MOST_PARTS = 4  # that the state of one job is meant to take: each is a change of its own
+PARTS_S = 2.0  # a write of one job may take the service's changes for so long: each part is one
+LEAST_PARTS = 2  # and at least so many
+PART_NAME_BYTES = 60  # of a record, at most half of which names its parts
 PACKED_SHARE = 0.5  # of the plain form's bytes, at most, that the packed form takes (0.3 to 0.45 measured)
 
 
@@ -102,11 +104,20 @@
 
     def record_bytes(self) -> float:
         """How many bytes the starts of one job may take in the plain form: more are not made at once."""
-        plain = records.plain_starts_bytes(self.store.limits.value_kb)
         if not self.new_formats():
-            return plain
-        parts = max(1, min(MOST_PARTS, self.store.txn_ops // 2))
-        return min(plain, parts * self.store.value_limit / PACKED_SHARE)
+            return records.plain_starts_bytes(self.store.limits.value_kb)
+        return self.state_parts() * self.store.value_limit / PACKED_SHARE
+
+    def state_parts(self) -> int:
+        """In how many parts the state of one job may be stored.
+
+        Each takes a change, a place among the record's names, and one among the conditions of the transaction
+        that writes the record, beside the leader's, the keepers' and the record's own.
+        """
+        by_pace = int(PARTS_S * self.store.writes.rate)
+        by_names = self.store.value_limit // PART_NAME_BYTES
+        by_conditions = self.store.txn_ops * CONDITIONS_PER_CHANGE - len(self.keep_keys) - 2
+        return max(LEAST_PARTS, min(by_pace, by_names, by_conditions))
 
     # -- one write ---------------------------------------------------------------------------------
 
@@ -173,10 +184,9 @@
         fence = [(keys.LEADER, token), *self.kept.conditions(self.keep_keys)]
         conditions = [*fence, *((keys.JOBS + w.job.ref, w.job.stamp) for w in batch)]
         parts = {key: text for w in batch for key, text in w.new_parts.items()}
-        step = self.store.batch()
-        while len(parts) + len(batch) > max(step, len(batch)):
+        while not self._fit_one_transaction(parts, batch):
             # One job whose parts are many. They may be removed as long as no record names them, hence the conditions.
-            first = list(parts.items())[:step]
+            first = _first_parts(parts, self.store.batch())
             written = await self.store.commit(conditions, first)
             for key, text in first:
                 self.table.take_part(key, text, written)
@@ -188,6 +198,14 @@
             self.table.take_part(key, text, written)
         return written
 
+    def _fit_one_transaction(self, parts: dict[str, str], batch: list[PendingWrite]) -> bool:
+        """Whether the parts that are not written yet can go with the records."""
+        if not parts:
+            return True
+        length = sum(records.size(w.encoded.value) + ENTRY_BYTES for w in batch)
+        length += sum(len(text) + ENTRY_BYTES for text in parts.values())
+        return len(parts) + len(batch) <= max(self.store.batch(), len(batch)) and length <= BATCH_BYTES
+
     def _answered(self, write: PendingWrite, stamp: int, same: bool) -> None:
         """Take note of what became of one job's write."""
         job = write.job
@@ -310,5 +328,17 @@
         self.table.parts.stale.add(ref)
 
 
+def _first_parts(parts: dict[str, str], most: int) -> list[tuple[str, str]]:
+    """As many parts as one transaction takes, at least one."""
+    first: list[tuple[str, str]] = []
+    length = ENTRY_BYTES
+    for key, text in parts.items():
+        length += len(text) + ENTRY_BYTES
+        if first and (len(first) >= most or length > BATCH_BYTES):
+            break
+        first.append((key, text))
+    return first
+
+
 async def _no_refresh(key: str) -> None:
     """Where nothing can be read."""
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -325,9 +325,10 @@
         return True
 
     def _widest(self, job: Job) -> int:
-        """How many more starts the job's record can name: a value has a limit, and ranges are short."""
-        room = self.record_bytes() - MACHINE_BYTES * len({a.machine for a in job.active.values()})
-        return max(0, max(LEAST_STARTS, int(room / START_BYTES)) - len(job.active))
+        """How many more starts the job's record can name, each on a machine that it does not name yet."""
+        machines, starts = len({a.machine for a in job.active.values()}), len(job.active)
+        room = self.record_bytes() - MACHINE_BYTES * machines - START_BYTES * starts
+        return max(0, LEAST_STARTS - starts, int(room / (MACHINE_BYTES + START_BYTES)))
 
     def _take(self, state: RoundState, index: int, job: Job, n: int) -> None:
         spec = job.spec
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -22,6 +22,7 @@
 
 log = logging.getLogger("hookwall.store")
 
+CONDITIONS_PER_CHANGE = 4  # a transaction may have so many conditions for each change that it may make
 NO_SUCH_LEASE = "no such lease"
 MOST_WAIT_S = 1.0
 FRESH_S = 1.5
--- a/tests/test_job_writer.py
+++ b/tests/test_job_writer.py
@@ -12,8 +12,9 @@
 from hookwall.job_writer import JobWriter
 from hookwall.jobs import JobTable
 from hookwall.kept import Kept
-from hookwall.records import JobRecord, encode
+from hookwall.records import JobRecord, encode, size, value_limit
 from hookwall.roles import Role
+from hookwall.settings import State
 from hookwall.store import Conflict, Unknown
 from hookwall.wire import JobSpec
 
@@ -211,3 +212,41 @@
 
     asyncio.run(several())
     assert asked == [f"{keys.JOBS}run-{n:06d}" for n in (1, 2, 3, 1)]
+
+
+@pytest.mark.parametrize(("value_kb", "txn_ops", "machines"), [(32.0, 24, 4000), (16.0, 12, 4000), (2.0, 12, 1000)])
+def test_a_job_on_thousands_of_machines_is_stored_within_all_limits(state, clock, value_kb, txn_ops, machines):
+    """An array was held to 215 machines at a time, and its parts were sent in transactions that were too large."""
+    limits = State(rps=150.0, write_rps=50.0, value_kb=value_kb, txn_ops=txn_ops)
+    state.limits, state.txn_ops, state.value_limit = limits, txn_ops, value_limit(value_kb)
+    state.writes = SimpleNamespace(rate=38.0)
+    sent: list[tuple[int, int, int]] = []
+    write = state.commit
+
+    async def commit(when, put=(), **more):
+        largest = max(size(value) for _, value in put)
+        sent.append((len(when), len(put), sum(size(value) for _, value in put)))
+        assert largest <= value_kb * 1024
+        return await write(when, put, **more)
+
+    state.commit = commit
+    table = JobTable(clock)
+    state.keys[keys.LEADER] = ({"node": "n0"}, 5)
+    lead = SimpleNamespace(token=5, role=Role.LEADER)
+    writer = JobWriter(table, state, lead, Kept(clock), [KEEPER, KEEPER + "x"], clock)
+    writer.new_formats = lambda: True
+    spec = description(1, pieces=machines)
+    record = {"phase": "open", "n": machines, "next": 2, "on": [], "spec": spec, "at": 1.0, "done": ""}
+    state.keys[KEY] = (record, 9)
+    state.epoch = 9
+    table.apply(KEY, record, 9)
+    job = table.jobs["run-000001"]
+    assert writer.record_bytes() >= 54 * machines, "it may start on all of them"
+    for n in range(machines):
+        job.active[n] = Active(n, f"vm-{(n * 7919) % 99991:06d}", 1 + n % 3, 1 + n % 5, clock())
+    job.dirty = job.fresh = True
+    asyncio.run(writer._write([job]))
+    assert not job.dirty and len(job.stored_on) == machines
+    assert all(
+        conditions <= 4 * txn_ops and puts <= txn_ops and length < 62 * 1024 for conditions, puts, length in sent
+    )
