--- a/hookwall/job_writer.py
+++ b/hookwall/job_writer.py
@@ -17,6 +17,7 @@
 from hookwall.leadership import Leadership
 from hookwall.records import Encoded, RecordTooLarge
 from hookwall.roles import Role
+from hookwall.round_state import StartRoom
 from hookwall.store import CONDITIONS_PER_CHANGE, Conflict, Refused, Store, TooLarge, Unknown
 
 log = logging.getLogger("hookwall.job_writer")
@@ -30,6 +31,7 @@
 ENTRY_BYTES = 200  # of a transaction, beside each record
 ALONE_S = 5.0  # so long after a write that was too large, each job is written by itself
 COLLECT_EVERY_S = 5.0
+FEW_PARTS = 4  # that the state of most jobs takes
 PARTS_S = 2.0  # a write of one job may take the service's changes for so long: each part is one
 LEAST_PARTS = 2  # and at least so many
 PART_NAME_BYTES = 60  # of a record, at most half of which names its parts
@@ -102,11 +104,14 @@
         except TimeoutError:
             pass
 
-    def record_bytes(self) -> float:
+    def start_room(self) -> StartRoom:
         """How many bytes the starts of one job may take in the plain form: more are not made at once."""
+        plain = records.plain_starts_bytes(self.store.limits.value_kb)
         if not self.new_formats():
-            return records.plain_starts_bytes(self.store.limits.value_kb)
-        return self.state_parts() * self.store.value_limit / PACKED_SHARE
+            return StartRoom(plain, plain)
+        few = max(1, min(FEW_PARTS, self.store.txn_ops // 2)) * self.store.value_limit / PACKED_SHARE
+        most = self.state_parts() * self.store.value_limit / PACKED_SHARE
+        return StartRoom(min(plain, few), most)
 
     def state_parts(self) -> int:
         """In how many parts the state of one job may be stored.
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -80,7 +80,7 @@
         self.writer.new_formats = self.api.new_formats = self.formats.pipelines
         self.keeper.packs, self.keeper.numbers = self.formats.pipelines, self.formats.numbered
         self.writer.watched = lambda: self.epoch
-        self.scheduler.record_bytes = self.writer.record_bytes
+        self.scheduler.start_room = self.writer.start_room
         self.api.current = self.cancellations.records_current
         self.leadership.about, self.leadership.on_about = self._about, self._on_about
         self.leadership.want, self.leadership.lend = self.store.want.now, self.store.lend
--- a/hookwall/round_state.py
+++ b/hookwall/round_state.py
@@ -19,6 +19,18 @@
     declined: float = -1.0  # since when it leaves machines without its image to others, unserved
 
 
+@dataclass(slots=True, frozen=True)
+class StartRoom:
+    """How many bytes of its record the starts of one job may take in the plain form.
+
+    Several starts on one machine share its name, so new ones are taken to need no more names in a usual record. Those
+    of a larger one count as each on a machine of its own, since that is what it might come to.
+    """
+
+    usual: float
+    most: float
+
+
 @dataclass(slots=True)
 class Usage:
     """What a team's tasks may be using now, and what all its unfinished jobs want."""
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -18,7 +18,7 @@
 from hookwall.preemption import Preemption
 from hookwall.records import plain_starts_bytes
 from hookwall.reservations import Reservations
-from hookwall.round_state import QueuedJob, RoundState, Usage
+from hookwall.round_state import QueuedJob, RoundState, StartRoom, Usage
 from hookwall.settings import Params
 
 log = logging.getLogger("hookwall.scheduler")
@@ -51,7 +51,8 @@
         self.waiting: dict[str, QueuedJob] = {}
         self.fresh_count: Callable[[], int] = lambda: 0
         # How many bytes the starts of one job may take in the plain form of its record (job_writer.py).
-        self.record_bytes: Callable[[], float] = lambda: plain_starts_bytes(params.state.value_kb)
+        plain = plain_starts_bytes(params.state.value_kb)
+        self.start_room: Callable[[], StartRoom] = lambda: StartRoom(plain, plain)
         self.last_start: dict[str, float] = {}  # when a class is expected to have begun at the latest
         for o in params.objectives:
             if o.kind == "wait" and o.job_class and o.within_s:
@@ -325,10 +326,12 @@
         return True
 
     def _widest(self, job: Job) -> int:
-        """How many more starts the job's record can name, each on a machine that it does not name yet."""
-        machines, starts = len({a.machine for a in job.active.values()}), len(job.active)
-        room = self.record_bytes() - MACHINE_BYTES * machines - START_BYTES * starts
-        return max(0, LEAST_STARTS - starts, int(room / (MACHINE_BYTES + START_BYTES)))
+        """How many more starts the job's record can name: a value has a limit, and ranges are short."""
+        room, starts = self.start_room(), len(job.active)
+        used = MACHINE_BYTES * len({a.machine for a in job.active.values()}) + START_BYTES * starts
+        usual = (room.usual - used) / START_BYTES
+        most = (room.most - used) / (MACHINE_BYTES + START_BYTES)
+        return max(0, LEAST_STARTS - starts, int(usual), int(most))
 
     def _take(self, state: RoundState, index: int, job: Job, n: int) -> None:
         spec = job.spec
--- a/tests/test_job_writer.py
+++ b/tests/test_job_writer.py
@@ -241,7 +241,7 @@
     state.epoch = 9
     table.apply(KEY, record, 9)
     job = table.jobs["run-000001"]
-    assert writer.record_bytes() >= 54 * machines, "it may start on all of them"
+    assert writer.start_room().most >= 54 * machines, "it may start on all of them"
     for n in range(machines):
         job.active[n] = Active(n, f"vm-{(n * 7919) % 99991:06d}", 1 + n % 3, 1 + n % 5, clock())
     job.dirty = job.fresh = True
