--- /dev/null
+++ b/tests/test_fit.py
@@ -0,0 +1,32 @@
+"""How a job's tasks fit the machine types, as found once and used by every round."""
+
+import msgspec
+import pytest
+from conftest import CATALOG
+
+from hookwall.fit import fit_of
+
+
+@pytest.mark.parametrize(
+    ("needs", "weight", "whole"),
+    [
+        ({"cards": 1.0}, 0.25, False),
+        ({"cards": 3.0}, 1.0, True),
+        ({"cards": 0.0, "cores": 8.0}, 0.25, False),
+        ({"cards": 0.0, "cores": 20.0}, 1.0, True),
+        ({"cards": 1.0, "memGb": 200.0}, 1.0, True),
+        ({"cards": 3.0, "loaners": True}, 1.0, False),
+        ({"cards": 5.0}, 0.0, True),
+    ],
+)
+def test_what_a_task_takes_of_a_machine(cluster, needs, weight, whole):
+    fit = fit_of(cluster.submit(1, **needs), cluster.fleet)
+    assert (fit.weight, fit.whole, fit.wait_s) == (weight, whole, 25.0 + 5.0 / 0.5)
+
+
+def test_a_new_catalog_is_taken_into_account(cluster):
+    job = cluster.submit(1, cards=1.0)
+    assert fit_of(job, cluster.fleet).weight == 0.25
+    larger = msgspec.structs.replace(CATALOG.types[0], gpus=8.0, cpus=64.0, memory=512.0, boot_s=40.0)
+    cluster.fleet.set_catalog(msgspec.structs.replace(CATALOG, types=[larger]))
+    assert (fit_of(job, cluster.fleet).weight, fit_of(job, cluster.fleet).wait_s) == (0.125, 50.0)
--- a/tests/test_job_writer.py
+++ b/tests/test_job_writer.py
@@ -1,6 +1,7 @@
 """Writing jobs: what goes into one transaction, and which parts of records may be removed."""
 
 import asyncio
+import random
 from types import SimpleNamespace
 
 import msgspec
@@ -14,6 +15,7 @@
 from hookwall.kept import Kept
 from hookwall.records import JobRecord, encode, size, value_limit
 from hookwall.roles import Role
+from hookwall.scheduler import MACHINE_BYTES, START_BYTES
 from hookwall.settings import State
 from hookwall.store import Conflict, Unknown
 from hookwall.wire import JobSpec
@@ -214,8 +216,11 @@
     assert asked == [f"{keys.JOBS}run-{n:06d}" for n in (1, 2, 3, 1)]
 
 
-@pytest.mark.parametrize(("value_kb", "txn_ops", "machines"), [(32.0, 24, 4000), (16.0, 12, 4000), (2.0, 12, 1000)])
-def test_a_job_on_thousands_of_machines_is_stored_within_all_limits(state, clock, value_kb, txn_ops, machines):
+@pytest.mark.parametrize(
+    ("value_kb", "txn_ops", "least"),
+    [(32.0, 24, 4000), (16.0, 12, 4000), (2.0, 24, 1000), (2.0, 12, 1000), (2.0, 4, 750)],
+)
+def test_a_job_on_as_many_machines_as_it_may_use_is_stored_within_all_limits(state, clock, value_kb, txn_ops, least):
     """An array was held to 215 machines at a time, and its parts were sent in transactions that were too large."""
     limits = State(rps=150.0, write_rps=50.0, value_kb=value_kb, txn_ops=txn_ops)
     state.limits, state.txn_ops, state.value_limit = limits, txn_ops, value_limit(value_kb)
@@ -235,15 +240,18 @@
     lead = SimpleNamespace(token=5, role=Role.LEADER)
     writer = JobWriter(table, state, lead, Kept(clock), [KEEPER, KEEPER + "x"], clock)
     writer.new_formats = lambda: True
+    # As many as the scheduler starts at most, each on a machine of its own, but no more than a large fleet has.
+    machines = min(4000, int(writer.start_room().most / (MACHINE_BYTES + START_BYTES)))
+    assert machines >= least
     spec = description(1, pieces=machines)
     record = {"phase": "open", "n": machines, "next": 2, "on": [], "spec": spec, "at": 1.0, "done": ""}
     state.keys[KEY] = (record, 9)
     state.epoch = 9
     table.apply(KEY, record, 9)
     job = table.jobs["run-000001"]
-    assert writer.start_room().most >= 54 * machines, "it may start on all of them"
+    names = random.Random(5)
     for n in range(machines):
-        job.active[n] = Active(n, f"vm-{(n * 7919) % 99991:06d}", 1 + n % 3, 1 + n % 5, clock())
+        job.active[n] = Active(n, f"vm-{names.getrandbits(64):016x}", 1 + n % 3, 1 + n % 5, clock())
     job.dirty = job.fresh = True
     asyncio.run(writer._write([job]))
     assert not job.dirty and len(job.stored_on) == machines
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,6 +5,7 @@
 
 from hookwall import scheduler as sched
 from hookwall.records import plain
+from hookwall.round_state import StartRoom
 from hookwall.settings import MachineLimits
 
 
@@ -423,3 +424,12 @@
     cluster.beat("vm-7", [(f"{job.ref}/{i}", 1, "running", None) for i in (0, 1)], zone="east")
     cluster.scheduler.round()
     assert {a.machine for a in job.active.values()} == {"vm-7", "vm-2"}
+
+
+def test_a_large_record_may_name_more_starts_than_a_usual_one(cluster):
+    for n in range(1, 13):
+        cluster.beat(f"vm-{n}")
+    cluster.scheduler.start_room = lambda: StartRoom(0.0, 20 * (sched.MACHINE_BYTES + sched.START_BYTES) + 1.0)
+    job = cluster.submit(1, pieces=40)
+    cluster.scheduler.round()
+    assert len(job.active) == 20
