--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -298,3 +298,14 @@
     table, key, encoded = large_record(clock)
     table.apply(key, {**encoded.value, "phase": "withdrawn"}, 9)
     assert table.withdrawn("run-000001")
+
+
+def test_a_job_is_queued_as_of_the_end_of_the_last_job_that_it_needs(clock):
+    table = JobTable(clock)
+    needed = {"phase": "open", "n": 1, "next": 1, "on": [], "spec": description(1), "at": 10.0, "done": ""}
+    waiting = {**needed, "spec": description(2, awaits=["run-000001"]), "at": 20.0}
+    table.apply("hookwall/job/run-000001", needed, 5)
+    table.apply("hookwall/job/run-000002", waiting, 6)
+    assert table.jobs["run-000002"].arrival == 20.0 and "run-000002" in table.blocked
+    table.apply("hookwall/job/run-000001", {"phase": "done", "n": 1, "next": 2, "on": [], "ended": 50.0}, 7)
+    assert table.jobs["run-000002"].arrival == 50.0 and "run-000002" in table.open
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -123,9 +123,11 @@
         await w.cancel("n0", a)
         await asyncio.sleep(w.params.workers.cancel_s + 10.0)
         b = w.job(2, awaits=[a])
+        before = w.service.epoch
         for node in w.nodes:
             assert await w.submit(node, b) in (200, 201)
             assert await w.poll(node, b) == (200, "withdrawn")
+        assert w.service.epoch == before + 1, "stored as cancelled from the start"
 
     play(scenario)
 
