--- a/tests/test_job_writer.py
+++ b/tests/test_job_writer.py
@@ -216,33 +216,18 @@
     assert asked == [f"{keys.JOBS}run-{n:06d}" for n in (1, 2, 3, 1)]
 
 
-@pytest.mark.parametrize(
-    ("value_kb", "txn_ops", "least"),
-    [(32.0, 24, 4000), (16.0, 12, 4000), (2.0, 24, 1000), (2.0, 12, 1000), (2.0, 4, 750)],
-)
-def test_a_job_on_as_many_machines_as_it_may_use_is_stored_within_all_limits(state, clock, value_kb, txn_ops, least):
-    """An array was held to 215 machines at a time, and its parts were sent in transactions that were too large."""
+def on_many_machines(state, clock, value_kb, txn_ops):
+    """A leader's writer, and a job that is on as many machines as it may use, but no more than a large fleet has."""
     limits = State(rps=150.0, write_rps=50.0, value_kb=value_kb, txn_ops=txn_ops)
     state.limits, state.txn_ops, state.value_limit = limits, txn_ops, value_limit(value_kb)
     state.writes = SimpleNamespace(rate=38.0)
-    sent: list[tuple[int, int, int]] = []
-    write = state.commit
-
-    async def commit(when, put=(), **more):
-        largest = max(size(value) for _, value in put)
-        sent.append((len(when), len(put), sum(size(value) for _, value in put)))
-        assert largest <= value_kb * 1024
-        return await write(when, put, **more)
-
-    state.commit = commit
-    table = JobTable(clock)
     state.keys[keys.LEADER] = ({"node": "n0"}, 5)
-    lead = SimpleNamespace(token=5, role=Role.LEADER)
-    writer = JobWriter(table, state, lead, Kept(clock), [KEEPER, KEEPER + "x"], clock)
+    table = JobTable(clock)
+    writer = JobWriter(
+        table, state, SimpleNamespace(token=5, role=Role.LEADER), Kept(clock), [KEEPER, KEEPER + "x"], clock
+    )
     writer.new_formats = lambda: True
-    # As many as the scheduler starts at most, each on a machine of its own, but no more than a large fleet has.
     machines = min(4000, int(writer.start_room().most / (MACHINE_BYTES + START_BYTES)))
-    assert machines >= least
     spec = description(1, pieces=machines)
     record = {"phase": "open", "n": machines, "next": 2, "on": [], "spec": spec, "at": 1.0, "done": ""}
     state.keys[KEY] = (record, 9)
@@ -253,8 +238,44 @@
     for n in range(machines):
         job.active[n] = Active(n, f"vm-{names.getrandbits(64):016x}", 1 + n % 3, 1 + n % 5, clock())
     job.dirty = job.fresh = True
+    return writer, job
+
+
+@pytest.mark.parametrize(
+    ("value_kb", "txn_ops", "least"),
+    [(32.0, 24, 4000), (16.0, 12, 4000), (2.0, 24, 1000), (2.0, 12, 1000), (2.0, 4, 750)],
+)
+def test_a_job_on_as_many_machines_as_it_may_use_is_stored_within_all_limits(state, clock, value_kb, txn_ops, least):
+    """An array was held to 215 machines at a time, and its parts were sent in transactions that were too large."""
+    sent: list[tuple[int, int, int]] = []
+    write = state.commit
+
+    async def commit(when, put=(), **more):
+        assert max(size(value) for _, value in put) <= value_kb * 1024
+        sent.append((len(when), len(put), sum(size(value) for _, value in put)))
+        return await write(when, put, **more)
+
+    state.commit = commit
+    writer, job = on_many_machines(state, clock, value_kb, txn_ops)
+    assert job.tasks >= least
     asyncio.run(writer._write([job]))
-    assert not job.dirty and len(job.stored_on) == machines
-    assert all(
-        conditions <= 4 * txn_ops and puts <= txn_ops and length < 62 * 1024 for conditions, puts, length in sent
-    )
+    assert not job.dirty and len(job.stored_on) == job.tasks
+    for conditions, puts, length in sent:
+        assert conditions <= 4 * txn_ops and puts <= txn_ops and length < 62 * 1024
+
+
+def test_a_record_is_not_stored_if_a_part_that_went_before_it_is_gone(state, clock):
+    """Another leader removed it, as no record named it yet: the record could not be read any more."""
+    writer, job = on_many_machines(state, clock, 2.0, 4)
+    writes: list[list[str]] = []
+    write = state.commit
+
+    async def commit(when, put=(), **more):
+        if len(writes) == 2:
+            state.keys.pop(writes[0][0])
+        writes.append([key for key, _ in put])
+        return await write(when, put, **more)
+
+    state.commit = commit
+    asyncio.run(writer._write([job]))
+    assert len(writes) > 2 and job.dirty and not job.stored_on and state.keys[KEY][1] == 9
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -12,6 +12,7 @@
 from hookwall.job import write_order
 from hookwall.jobs import JobTable
 from hookwall.records import JobRecord, encode, pack_numbers, plain, unpack_numbers
+from hookwall.store import Conflict
 from hookwall.user_api import UserApi
 from hookwall.wire import JobSpec
 
@@ -309,3 +310,44 @@
     assert table.jobs["run-000002"].arrival == 20.0 and "run-000002" in table.blocked
     table.apply("hookwall/job/run-000001", {"phase": "done", "n": 1, "next": 2, "on": [], "ended": 50.0}, 7)
     assert table.jobs["run-000002"].arrival == 50.0 and "run-000002" in table.open
+
+
+@pytest.mark.parametrize("gone", [False, True])
+def test_a_record_that_is_replaced_in_parts_is_not_stored_if_one_of_them_is_gone(nodes, state, clock, gone):
+    """A leader may remove parts that no record names, so the write that names them is conditional on them."""
+    table, key, encoded = large_record(clock)
+    state.keys[key], state.epoch = ({"phase": "open", "n": 1, "next": 1, "on": []}, 9), 9
+    state.txn_ops = 2
+    writes: list[list[str]] = []
+    write = state.commit
+
+    async def commit(when, put=(), **more):
+        if len(writes) == 1 and gone:
+            state.keys.pop(writes[0][0])
+        writes.append([name for name, _ in put])
+        return await write(when, put, **more)
+
+    async def script(a, b):
+        state.commit = commit
+        try:
+            return await a._store(key, 9, encoded, state.keys[key][0])
+        except Conflict:
+            return None
+
+    stored = play(nodes, script)
+    assert len(writes) > 1 and (stored is None) == gone
+    assert (state.keys[key][0] == encoded.value) != gone
+
+
+def test_a_large_description_is_not_stored_in_parts_while_an_older_program_may_read_it(nodes, state):
+    async def script(a, b):
+        a.new_formats = lambda: False
+        needs = [f"type-{n * 7919**4:030d}" * 3 for n in range(60)]
+        first = await a.submit(json.dumps(description(1, hulls=["g4", *needs], pieces=2)).encode())
+        stored = {key for key in state.keys if key.startswith((keys.PARTS, keys.JOBS))}
+        plain_form = [state.keys[key][0] for key in stored]
+        return first[0], [key for key in stored if key.startswith(keys.PARTS)], ["packed" in v for v in plain_form]
+
+    state.value_limit = 1700  # of the limits to come
+    status, parts, packed = play(nodes, script)
+    assert status == 201 and not parts and packed == [False]
