--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -315,7 +315,7 @@
 @pytest.mark.parametrize("gone", [False, True])
 def test_a_record_that_is_replaced_in_parts_is_not_stored_if_one_of_them_is_gone(nodes, state, clock, gone):
     """A leader may remove parts that no record names, so the write that names them is conditional on them."""
-    table, key, encoded = large_record(clock)
+    _, key, encoded = large_record(clock)
     state.keys[key], state.epoch = ({"phase": "open", "n": 1, "next": 1, "on": []}, 9), 9
     state.txn_ops = 2
     writes: list[list[str]] = []
