--- a/tests/test_ran_twice.py
+++ b/tests/test_ran_twice.py
@@ -31,6 +31,21 @@
     return end
 
 
+def hold_up_next_leader_key(world: World, late_s: float) -> list[tuple[str, float]]:
+    """The next write of the leader key is carried out so late; who sent it and when, once it was sent."""
+    writes: list[tuple[str, float]] = []
+
+    def late(node: str, body: dict) -> float | None:
+        sets_key = any(change.get("set") == keys.LEADER for change in body.get("apply", ()))
+        if not sets_key or writes:
+            return None
+        writes.append((node, world.now()))
+        return late_s
+
+    world.service.late = late
+    return writes
+
+
 @pytest.mark.parametrize("refused_s", [1.6, 1.8, 2.0, 2.2])
 @pytest.mark.parametrize("before_end_s", [0.8, 0.6, 0.4])
 def test_a_leader_that_hears_late_of_a_kept_lease_stores_nothing_that_it_decided_before(refused_s, before_end_s):
@@ -71,7 +86,6 @@
     By then the former leader has its promises again. It loses its peers, and so does the candidate, which found a key
     that names itself, took it for its earlier process's, and led alone at once: two nodes were valid for seconds.
     """
-    writes: list[tuple[str, float]] = []
 
     async def scenario(world: World) -> None:
         Invariants(world).watch()
@@ -80,14 +94,7 @@
         await world.runs(ref)
         lead = world.leader().settings.node_name
 
-        def late(node: str, body: dict) -> float | None:
-            sets_key = any(change.get("set") == keys.LEADER for change in body.get("apply", ()))
-            if not sets_key or writes:
-                return None
-            writes.append((node, world.now()))
-            return 3.0
-
-        world.service.late = late
+        writes = hold_up_next_leader_key(world, 3.0)
         world.freeze(lead)
         await world.until(lambda: bool(writes), 12.0, "nobody takes over")
         candidate, at = writes[0]
@@ -112,7 +119,6 @@
     The voter's new process supported the former leader again, which lacks the state service and so hears of no newer
     key. The candidate's node restarted as well, cut off from its peers, found the key that names it and led alone.
     """
-    writes: list[tuple[str, float]] = []
 
     async def scenario(world: World) -> None:
         Invariants(world).watch()
@@ -121,14 +127,7 @@
         await world.runs(ref)
         lead = world.leader().settings.node_name
 
-        def late(node: str, body: dict) -> float | None:
-            sets_key = any(change.get("set") == keys.LEADER for change in body.get("apply", ()))
-            if not sets_key or writes:
-                return None
-            writes.append((node, world.now()))
-            return 0.8
-
-        world.service.late = late
+        writes = hold_up_next_leader_key(world, 0.8)
         world.freeze(lead)
         await world.until(lambda: bool(writes), 12.0, "nobody takes over")
         candidate, _ = writes[0]
