--- a/tests/test_ran_twice.py
+++ b/tests/test_ran_twice.py
@@ -31,6 +31,23 @@
     return end
 
 
+async def with_a_running_job(world: World) -> tuple[str, str]:
+    """Check the invariants from now on, and run a long job: the leader's name and the job's."""
+    Invariants(world).watch()
+    ref = world.job(1, run_s=300.0)
+    await world.accepted(ref)
+    await world.runs(ref)
+    return world.leader().settings.node_name, ref
+
+
+async def recovers(world: World, ref: str) -> None:
+    """The troubles are over: soon somebody leads, and the job still runs."""
+    world.service.refused.clear()
+    world.apart.clear()
+    await asyncio.sleep(10.0)
+    assert world.leader() is not None and world.on_machines(ref)
+
+
 def hold_up_next_leader_key(world: World, late_s: float) -> list[tuple[str, float]]:
     """The next write of the leader key is carried out so late; who sent it and when, once it was sent."""
     writes: list[tuple[str, float]] = []
@@ -88,12 +105,7 @@
     """
 
     async def scenario(world: World) -> None:
-        Invariants(world).watch()
-        ref = world.job(1, run_s=300.0)
-        await world.accepted(ref)
-        await world.runs(ref)
-        lead = world.leader().settings.node_name
-
+        lead, ref = await with_a_running_job(world)
         writes = hold_up_next_leader_key(world, 3.0)
         world.freeze(lead)
         await world.until(lambda: bool(writes), 12.0, "nobody takes over")
@@ -105,10 +117,7 @@
         await asyncio.sleep(at + 2.9 - world.now())
         world.apart |= world.links_of(lead)
         await asyncio.sleep(12.0)
-        world.service.refused.clear()
-        world.apart.clear()
-        await asyncio.sleep(10.0)
-        assert world.leader() is not None and world.on_machines(ref)
+        await recovers(world, ref)
 
     play(scenario)
 
@@ -121,12 +130,7 @@
     """
 
     async def scenario(world: World) -> None:
-        Invariants(world).watch()
-        ref = world.job(1, run_s=300.0)
-        await world.accepted(ref)
-        await world.runs(ref)
-        lead = world.leader().settings.node_name
-
+        lead, ref = await with_a_running_job(world)
         writes = hold_up_next_leader_key(world, 0.8)
         world.freeze(lead)
         await world.until(lambda: bool(writes), 12.0, "nobody takes over")
@@ -143,9 +147,6 @@
         world.service.refused.add(voter)  # it has read the key; from now on it hears of no other
         world.start(candidate)
         await asyncio.sleep(12.0)
-        world.service.refused.clear()
-        world.apart.clear()
-        await asyncio.sleep(10.0)
-        assert world.leader() is not None and world.on_machines(ref)
+        await recovers(world, ref)
 
     play(scenario)
