--- a/tools/golden_format_1.py
+++ b/tools/golden_format_1.py
@@ -17,7 +17,6 @@
 
 import msgspec  # noqa: E402  (the checkout's modules come first)
 from conftest import CATALOG, Clock, FakeState, description  # noqa: E402
-from golden_recorder import Recorder  # noqa: E402
 from hookwall.cloud import Hire  # noqa: E402
 
 from hookwall import store as st  # noqa: E402
@@ -28,6 +27,17 @@
 from hookwall.store import Confirmer  # noqa: E402
 
 
+class Recorder:
+    """A peer that remembers what it was sent and answers as told."""
+
+    def __init__(self, name: str) -> None:
+        self.name, self.sent = name, []
+
+    async def call(self, message: dict, timeout: float = 1.0) -> dict:
+        self.sent.append(message)
+        return {"ok": True, "sok": True, "top": 0, "beats": 0, "want": [1.0, 2.0], "knows": True}
+
+
 class Limits:
     """The part of the settings that the user API needs."""
 
--- a/tools/golden_format_2.py
+++ b/tools/golden_format_2.py
@@ -18,7 +18,6 @@
 
 import msgspec  # noqa: E402  (the checkout's modules come first)
 from conftest import CATALOG, Clock, FakeState, description  # noqa: E402
-from golden_recorder import Recorder  # noqa: E402
 
 from hookwall import formats, keys, records  # noqa: E402
 from hookwall.confirmer import Confirmer  # noqa: E402
@@ -33,6 +32,17 @@
 LOWERED = State(rps=100.0, write_rps=30.0, value_kb=16.0, txn_ops=12, next=NextState(value_kb=1.0, txn_ops=4))
 
 
+class Recorder:
+    """A peer that remembers what it was sent and answers as told."""
+
+    def __init__(self, name: str) -> None:
+        self.name, self.sent = name, []
+
+    async def call(self, message: dict, timeout: float = 1.0) -> dict:
+        self.sent.append(message)
+        return {"ok": True, "sok": True, "top": 0, "beats": 0, "want": [1.0, 2.0], "knows": True}
+
+
 class Limits:
     """The part of the settings that the user API needs."""
 
@@ -40,6 +50,10 @@
     state = LOWERED
 
 
+def record_of(state: FakeState, n: int) -> object:
+    return state.keys[keys.JOBS + f"run-{n:06d}"][0]
+
+
 async def job_records() -> dict[str, object]:
     """Records as accepted, under way, packed, done and cancelled, and the parts that some of them name."""
     clock, state = Clock(), FakeState(LOWERED)
