--- a/hookwall/cli.py
+++ b/hookwall/cli.py
@@ -1,4 +1,4 @@
-"""The command line. One command today; others of an operator's toolbox can stand beside it."""
+"""The command line: the daemon, and the operators' commands beside it."""
 
 import argparse
 import gc
@@ -7,6 +7,8 @@
 import sys
 
 from hookwall import __version__
+from hookwall.drains import arguments as drains
+from hookwall.operations import load as load_operations
 from hookwall.settings import BadSettings, load
 
 GC_EVERY = 10_000  # new objects
@@ -20,7 +22,9 @@
     commands = p.add_subparsers(dest="command", required=True, metavar="COMMAND")
     serve = commands.add_parser("serve", help="run one controller node until it is killed")
     serve.add_argument("--config", required=True, metavar="FILE", help="the platform's settings file (TOML)")
+    serve.add_argument("--operations", metavar="FILE", help="the operators' own settings: what is switched on (TOML)")
     serve.set_defaults(run=run_serve)
+    drains.add_parser(commands)
     return p
 
 
@@ -37,6 +41,7 @@
 def run_serve(args: argparse.Namespace) -> int:
     log_to_stderr(os.environ.get("LOG_LEVEL") or "error")
     settings = load(args.config)
+    operations = load_operations(args.operations, settings.settings)
     # All is plain HTTP here, and aiohttp reads every certificate of the machine as it is imported: a third of the
     # time until a node listens.
     os.environ["SSL_CERT_FILE"] = os.environ["SSL_CERT_DIR"] = os.devnull
@@ -46,7 +51,7 @@
     from hookwall.node import Node
 
     async def main() -> None:
-        await Node(settings).run()
+        await Node(settings, operations=operations).run()
 
     # What was imported stays, and messages make no cycles: looking through all that every 700 objects finds nothing.
     gc.collect()
--- a/hookwall/fleet.py
+++ b/hookwall/fleet.py
@@ -54,6 +54,10 @@
         self.kept = Kept(clock)
         self.lease_ended: set[str] = set()  # machines whose starts were dropped since no node can have answered them
         self.wake: Callable[[], None] = lambda: None
+        self.cordoned: set[str] = set()  # machines that get no new work, since they are being drained (drains/)
+        self.maintained: set[str] = set()  # those of them that are empty: their workers may be silent
+        self.on_stop: Callable[[Job], None] = lambda job: None  # a job's tasks are told to stop
+        self.on_loss: Callable[[Job, Active], None] = lambda job, start: None  # a start is gone
         self.hints = Hints(self.by_index, self.images)
         lease = params.workers.lease_s
         self.lease_gone = lease * (1 + DRIFT) + LEASE_MARGIN_S
@@ -200,6 +204,7 @@
             m.room = None
         if job.active.get(a.task) is a:
             job.remove(a.task)
+            self.on_loss(job, a)
         if log.isEnabledFor(logging.DEBUG):
             log.debug("%s/%d attempt %d left %s: %s", job.ref, a.task, a.attempt, a.machine, why)
         self.wake()
@@ -350,7 +355,7 @@
             self.wake()
         if job.phase == WITHDRAWN:
             orders.append(wire.stop(t.piece, t.attempt, 0.0))
-        elif a.stop_grace is not None and now - a.stop_sent > STOP_AGAIN_S and t.phase != "saving":
+        elif a.stop_grace is not None and now - a.stop_sent > STOP_AGAIN_S and _heeds_stop(a, t):
             a.stop_sent = now
             orders.append(wire.stop(t.piece, t.attempt, a.stop_grace))
         return True
@@ -377,7 +382,7 @@
     def _absent(self, m: Machine, job: Job, a: Active, current: bool, orders: list[Order]) -> None:
         """A start that the records name and the report does not."""
         wanted = job.phase == OPEN and a.stop_grace is None and not a.finished
-        if not wanted or m.phase is not Phase.UP:
+        if not wanted or m.phase is not Phase.UP or m.name in self.cordoned:
             # The report answers none of our launches and the worker drops older leaders' answers.
             if current:
                 self.drop(job, a, "not there")
@@ -446,6 +451,7 @@
         """Ask for an orderly stop; of a gang, all tasks are told."""
         if a.stop_grace is not None:
             return
+        self.on_stop(job)
         many = job.active.values() if job.spec is not None and job.spec.gang else (a,)
         for x in many:
             if x.stop_grace is None:
@@ -495,6 +501,7 @@
         """Whether new tasks may be placed here."""
         return (
             m.phase in USABLE
+            and m.name not in self.cordoned
             and m.hears
             and not m.silent
             and m.tenure > 0
@@ -502,3 +509,8 @@
             and now >= m.full_until
             and self.info(m.type) is not None
         )
+
+
+def _heeds_stop(start: Active, reported: wire.TaskReport) -> bool:
+    """Whether a stop would change anything: a task that saves already only heeds one that gives it no more time."""
+    return reported.phase != "saving" or start.stop_grace == 0.0
--- a/hookwall/formats.py
+++ b/hookwall/formats.py
@@ -31,8 +31,10 @@
     PIPELINES = 2  # dependent jobs, packed records, packed keepers' keys
     NUMBERED = 3  # keepers' keys that name machines by their numbers; keys that fence votes (voter.py)
 
+    DRAINS = 4  # drains: keys that keep new work off machines (drains/)
 
-CURRENT = Format.NUMBERED
+
+CURRENT = Format.DRAINS
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,6 +67,10 @@
         """Whether keepers' keys may name machines by their numbers."""
         return self.all_know(Format.NUMBERED)
 
+    def drains(self) -> bool:
+        """Whether drains may be carried out: programs that don't know them place work on machines that are drained."""
+        return self.all_know(Format.DRAINS)
+
     def saw(self, key: str, value: object, stamp: int) -> None:
         """A marker as stored. An older state of it changes nothing."""
         node = key[len(keys.FORMAT) :]
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -3,15 +3,17 @@
 import asyncio
 import logging
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
 from hookwall import keys, peers, server, wire
+from hookwall.beats import BeatAnswer, BeatHandler
 from hookwall.cancellations import Cancellations
 from hookwall.cloud_client import CloudClient
 from hookwall.confirmer import Confirmer
+from hookwall.drains.controller import DrainController
 from hookwall.fleet import Fleet
 from hookwall.formats import FormatGate
 from hookwall.job import Active, Job
@@ -19,21 +21,22 @@
 from hookwall.jobs import JobTable
 from hookwall.keeper import Keeper
 from hookwall.leadership import Leadership
+from hookwall.operations import Operations
 from hookwall.peers import Peer
 from hookwall.renting import Renting
 from hookwall.roles import Role
 from hookwall.scheduler import Scheduler
 from hookwall.settings import Settings, address
-from hookwall.store import Conflict, Refused, Store, TooOld, Unknown
+from hookwall.store import Conflict, Refused, Store, Unknown
 from hookwall.user_api import UserApi
 from hookwall.voter import VoterFence
-from hookwall.wire import BadMessage, Beat, Catalog
+from hookwall.watch import Watch
+from hookwall.wire import BadMessage, Catalog
 
 log = logging.getLogger("hookwall.node")
 
 ROUND_EVERY_S = 0.5
 ROUND_GAP_S = 0.1
-WATCH_S = 3.0  # a watch that is quiet for long says nothing about how current this node is
 
 
 class Node:
@@ -44,11 +47,13 @@
         settings: Settings,
         clock: Callable[[], float] = time.monotonic,
         wall: Callable[[], float] = time.time,
+        operations: Operations | None = None,
     ) -> None:
         self.settings = settings
         params = settings.settings
         self.clock = clock
         self.store = Store(settings.external.state, params.state, params.size, clock)
+        self.watch = Watch(self.store, clock)
         self.table = JobTable(clock)
         self.confirmer = Confirmer(self.store, self._refresh)
         self.api = UserApi(params, self.table, self.store, self.confirmer, wall)
@@ -66,21 +71,33 @@
         )  # fmt: skip
         self.leadership.fence = VoterFence(settings.node_name, self.store, self.leadership.saw_key_behind_fence)
         self.cancellations = Cancellations(
-            params.workers, self.leadership, self.store, clock, self._position, self.table.withdraw
+            params.workers, self.leadership, self.store, clock, self.watch.position, self.table.withdraw
         )
         self.keeper = Keeper(
             settings.node_name, self.leadership, self.store, self.table, self.cancellations.may_renew, clock
         )
         peer_names = [seed.node_name for seed in settings.seeds]
+        self.beats = BeatHandler(self.leadership, self.fleet, self.keeper, self.cancellations, clock)
         self.formats = FormatGate(settings.node_name, peer_names, self.store)
         self.writer = JobWriter(
             self.table, self.store, self.leadership, self.fleet.kept, [keys.KEEP + n for n in peer_names], clock
         )
+        self.beats.on_report = self.writer.wake.set
+        self.watch.read_all, self.watch.on_current = self._read_all, self.cancellations.read
+        self.watch.take = lambda key, value, stamp: self._take_key(key, value, stamp)
+        self.watch.remove = self._take_deletion
+        self.watch.leads = lambda: self.leadership.role is Role.LEADER
         self.writer.refresh, self.writer.on_stored = self._refresh, self._stored
         self.writer.new_formats = self.api.new_formats = self.formats.pipelines
         self.keeper.packs, self.keeper.numbers = self.formats.pipelines, self.formats.numbered
-        self.writer.watched = lambda: self.epoch
+        self.writer.watched = lambda: self.watch.epoch
         self.scheduler.start_room = self.writer.start_room
+        self.drains = DrainController(
+            (operations or Operations()).drain, params, self.fleet, self.scheduler, self.store, self.leadership,
+            clock, wall,
+        )  # fmt: skip
+        self.drains.all_know, self.drains.is_gone = self.formats.drains, self.renting.is_gone
+        self.renting.relocations = self.drains.relocations
         self.api.current = self.cancellations.records_current
         self.leadership.about, self.leadership.on_about = self._about, self._on_about
         self.leadership.want, self.leadership.lend = self.store.want.now, self.store.lend
@@ -94,12 +111,9 @@
         self.leadership.on_hint = self.fleet.hints.take
         self.table.on_taken = self._taken
         self.fleet.kept.on_named = self._leases_kept
-        self.loaded = False
         self.no_catalog = False  # whether nobody had ever stored the machine types when this node took over
         self.wake = asyncio.Event()
         self.fleet.wake = self.wake.set
-        self.epoch = 0  # up to which the watch has told of all changes
-        self.scanned = 0  # the same of the last full read by a new leader
 
     # -- the state service ---------------------------------------------------------------------
 
@@ -131,6 +145,8 @@
             self.table.take_part(key, value, stamp)
         elif key.startswith(keys.FORMAT):
             self.formats.saw(key, value, stamp)
+        elif self.drains.follows(key):
+            self.drains.table.take(key, value, stamp)
         elif key == keys.CATALOG and not self.leadership.valid():
             try:
                 self._set_catalog(wire.convert(value, Catalog))
@@ -143,6 +159,8 @@
             self.leadership.saw_key({}, 0, stamp)
         elif key.startswith(keys.PARTS):
             self.table.parts.remove(key, stamp)
+        elif self.drains.follows(key):
+            self.drains.table.remove(key, stamp)
         elif key.startswith(keys.KEEP):
             known = self.fleet.kept.keys.get(key)
             if known is not None and stamp > known[0]:
@@ -157,6 +175,8 @@
         sent = self.clock()
         found, epoch = await self.store.scan(keys.ROOT)
         self._keepers_missing(found)
+        if self.drains.enabled:
+            self.drains.table.read_all(found)
         if self.leadership.role is Role.LEADER:
             self.writer.any_lease_may_be_kept()  # changes were missed
         leader = False
@@ -165,9 +185,10 @@
             self._take_key(key, value, stamp)
         if not leader:
             self.leadership.saw_key({}, 0, epoch)
-        self.epoch = epoch
-        self.loaded = self.cancellations.complete = True
+        self.watch.epoch = epoch
+        self.watch.loaded = self.cancellations.complete = True
         self.cancellations.read(sent)
+        log.info("read %d jobs", len(self.table.jobs))
 
     async def _load(self) -> None:
         """A new leader's picture starts from the records as they are after its key was written."""
@@ -175,12 +196,13 @@
         sent = self.clock()
         found, epoch = await self.store.scan(keys.ROOT)
         self._keepers_missing(found)
+        self.drains.load(found)
         for key, value, stamp in found:
             if key != keys.LEADER:
                 self._take_key(key, value, stamp)
         for ref in list(self.table.parts.incomplete):
             await self._refresh(keys.JOBS + ref)  # its parts were replaced while the keys were read
-        self.scanned = epoch
+        self.watch.scanned = epoch
         self.cancellations.complete = True
         self.cancellations.read(sent)
         self.no_catalog = all(key != keys.CATALOG for key, _, _ in found)
@@ -194,32 +216,6 @@
         for key in [k for k in self.fleet.kept.keys if k not in there]:
             self.fleet.kept.take(key, None, 0)
 
-    async def watch_loop(self) -> None:
-        """Learn of every change; a batch at a time, so that frequent changes cost few requests."""
-        while True:
-            try:
-                if not self.loaded:
-                    await self._read_all()
-                    log.info("read %d jobs", len(self.table.jobs))
-                sent = self.clock()
-                events, epoch = await self.store.changes(self.epoch, WATCH_S)
-                for e in events:
-                    stamp = e.get("stamp")
-                    if not isinstance(stamp, int):
-                        continue
-                    if isinstance(e.get("set"), str):
-                        self._take_key(e["set"], e.get("value"), stamp)
-                    elif isinstance(e.get("delete"), str):
-                        self._take_deletion(e["delete"], stamp)
-                self.epoch = epoch
-                self.cancellations.read(sent)
-                await asyncio.sleep(0.1 if self.leadership.role is Role.LEADER else 0.25)
-            except TooOld:
-                self.loaded = False
-            except (Refused, Unknown) as e:
-                log.debug("watch: %s", e)
-                await asyncio.sleep(0.4)
-
     def _taken(self, job: Job, before: list[Active]) -> None:
         if self.leadership.role is Role.LEADER:
             self.fleet.retake(job, before)
@@ -235,10 +231,6 @@
             log.info("a lease that seemed to be over is kept; decisions that are not stored are void")
             self.table.revert()
 
-    def _position(self) -> int:
-        """Up to which change this node has read the records."""
-        return max(self.epoch, self.scanned)
-
     def _withdrawn(self, ref: str, stamp: int) -> None:
         self.cancellations.learn(ref, stamp)
         self.wake.set()
@@ -264,49 +256,14 @@
         self.store.lead(role.leads())
         self.wake.set()
 
-    def take_beat(self, body: bytes) -> tuple[int, bytes] | Awaitable[tuple[int, bytes]]:
-        """A worker's report. A leader knows the answer at once; one that keeps a lease may have to store that first."""
-        try:
-            b = wire.decode_beat(body)
-        except BadMessage as e:
-            log.info("malformed report: %s", e)
-            return 400, b'{"error":"malformed"}'
-        lead = self.leadership
-        lead.beats_seen += 1
-        lead.last_beat = self.clock()
-        if not lead.valid():
-            if lead.role.leads():
-                return 503, b"{}"
-            name = self.keeper.sends(b)
-            return self._elsewhere(name) if name is not None else self._keep_lease(b)
-        if not self.cancellations.may_renew():
-            return 503, b"{}"  # too long without news of cancellations: this lease has to end in time
-        self.fleet.begin(self.clock())
-        orders = self.fleet.report(b)
-        if orders is None:
-            return 503, b"{}"
-        self.writer.wake.set()
-        return 200, msgspec.json.encode(wire.BeatAnswer(lead.token, orders))
-
-    async def beat(self, body: bytes) -> tuple[int, bytes]:
-        """The same for whoever can wait."""
-        got = self.take_beat(body)
+    async def beat(self, body: bytes) -> BeatAnswer:
+        """The answer to a worker's report, for whoever can wait."""
+        got = self.beats.take(body)
         return got if isinstance(got, tuple) else await got
 
-    def _elsewhere(self, name: str | None) -> tuple[int, bytes]:
-        """Send a worker to the leader, if one is known."""
-        return 421, msgspec.json.encode({"overseer": name} if name and name != self.leadership.me else {})
-
-    async def _keep_lease(self, b: Beat) -> tuple[int, bytes]:
-        """Keep the lease of a worker that has lost its leader, or send it there."""
-        orders = await self.keeper.keep(b)
-        if orders is None:
-            return self._elsewhere(self.leadership.leader_name())
-        return 200, msgspec.json.encode(wire.BeatAnswer(self.keeper.token, orders))
-
     def up(self) -> bool:
         """Healthy while this node can serve users, or while it knows that no other node could either."""
-        if not self.loaded:
+        if not self.watch.loaded:
             return False
         return self.store.healthy() or self.leadership.all_as_badly_off()
 
@@ -351,7 +308,7 @@
         host, port = address(self.settings.public_addr, "public_addr")
         params = self.settings.settings
         door = server.Door(
-            self.api, self.take_beat, self.up, params.machine_limits.sockets, params.workers.report_s, self.clock
+            self.api, self.beats.take, self.up, params.machine_limits.sockets, params.workers.report_s, self.clock
         )
         await server.listen(door, host, port)
         log.info("%s listens", self.settings.node_name)
@@ -361,7 +318,7 @@
         """All loops of this node; they go on until the process ends."""
         lead = self.leadership
         loops = {
-            "watch": self.watch_loop,
+            "watch": self.watch.run,
             "confirm": self.confirmer.run,
             "write": self.writer.run,
             "formats": self.formats.run,
@@ -372,6 +329,7 @@
             "lead": lambda: lead.run(lambda: bool(self.fleet.machines)),
             "keep": self.keeper.run,
             "list": lambda: self.renting.lists.run(lead.valid),
+            "drain": lambda: self.drains.run(lead.valid),
             "rent": lambda: self.renting.run(lead.valid, lambda: lead.token),
             **(more or {}),
         }
--- /dev/null
+++ b/hookwall/operations.py
@@ -0,0 +1,83 @@
+"""The operators' own settings file, which switches optional subsystems on.
+
+It stands beside the platform's settings file and is optional: without it every subsystem that it can
+switch on is off. Unknown fields are ignored; a bad one is refused by name.
+"""
+
+import math
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from hookwall.settings import BadSettings, Params
+
+DEFAULT_PERIOD_S = 300.0
+
+
+class Budget(msgspec.Struct, frozen=True):
+    """How many running jobs of a team may be disrupted within a period.
+
+    `jobs` is a number, `share` a part of the team's running jobs; where both are given the smaller one holds.
+    """
+
+    team: str
+    jobs: int | None = None
+    share: float | None = None
+    period_s: float = DEFAULT_PERIOD_S
+
+
+class DrainSettings(msgspec.Struct, frozen=True):
+    """Draining in steps (`hookwall.drains`)."""
+
+    enabled: bool = False
+    budgets: list[Budget] = []
+
+
+class Operations(msgspec.Struct, frozen=True):
+    """All that the operators' file may say."""
+
+    drain: DrainSettings = DrainSettings()
+
+
+def check(operations: Operations, params: Params) -> Operations:
+    """Refuse what decodes but can't be meant, and teams that the platform's settings don't name."""
+    teams = [team.name for team in params.teams]
+    seen: set[str] = set()
+    for budget in operations.drain.budgets:
+        where = f"drain.budgets: team {budget.team!r}"
+        if budget.team not in teams:
+            raise BadSettings(f"{where}: unknown; the teams are {', '.join(sorted(teams)) or 'none'}")
+        if budget.team in seen:
+            raise BadSettings(f"{where}: occurs twice")
+        seen.add(budget.team)
+        _check_amounts(budget, where)
+    return operations
+
+
+def _check_amounts(budget: Budget, where: str) -> None:
+    """The numbers of one budget."""
+    if budget.jobs is None and budget.share is None:
+        raise BadSettings(f"{where}: needs jobs (a whole number from 0) or share (a number from 0 to 1)")
+    if budget.jobs is not None and budget.jobs < 0:
+        raise BadSettings(f"{where}: jobs must be a whole number from 0, is {budget.jobs}")
+    if budget.share is not None and not 0.0 <= budget.share <= 1.0:
+        raise BadSettings(f"{where}: share must be a number from 0 to 1, is {budget.share}")
+    if not (math.isfinite(budget.period_s) and budget.period_s > 0):
+        raise BadSettings(f"{where}: period_s must be a positive number, is {budget.period_s}")
+
+
+def load(path: str | None, params: Params) -> Operations:
+    """Read and check the operators' file; everything is off without one."""
+    if path is None:
+        return Operations()
+    try:
+        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise BadSettings(f"--operations: cannot read {path}: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise BadSettings(f"--operations: {path} is not TOML: {error}") from None
+    try:
+        return check(msgspec.convert(raw, Operations), params)
+    except msgspec.ValidationError as error:
+        raise BadSettings(f"--operations: {error}") from None
--- a/hookwall/renting.py
+++ b/hookwall/renting.py
@@ -55,6 +55,8 @@
         self.began_at = -1e9
         # Whether nobody can have led lately, so that there are no hires and reports to wait for.
         self.fresh: Callable[[], bool] = lambda: False
+        # What has to find room elsewhere before machines that are being drained can be emptied.
+        self.relocations: Callable[[], list[Ask]] = list
         self.on_catalog: Callable[[Catalog], Awaitable[None]] = _no_catalog
 
     def reset(self) -> None:
@@ -67,6 +69,13 @@
         self.serial = 0
         self.began_at = self.clock()
 
+    def is_gone(self, machine: str) -> bool:
+        """Whether a machine that records name is known to be no more."""
+        if machine in self.fleet.deleted:
+            return True
+        leading_s = self.clock() - self.began_at
+        return machine not in self.fleet.machines and self.lists.listed_once and leading_s > 2 * self.lists.late_s
+
     # -- what to rent --------------------------------------------------------------------------
 
     def pools(self, now: float) -> list[Pool]:
@@ -130,6 +139,8 @@
         for w in needy(self.scheduler.waiting):
             if w.job.spec is not None:
                 more(self.scheduler.ask(w.job, w.count), w.count)
+        for ask in self.relocations():
+            more(ask, ask.count)
         return new
 
     def standby(self, now: float) -> dict[Pool, int]:
--- a/hookwall/returning.py
+++ b/hookwall/returning.py
@@ -52,6 +52,8 @@
         for m in fleet.machines.values():
             if m.phase is not Phase.UP or m.held_for or m.unrecorded or m.silent or (waits and not m.spot):
                 continue
+            if m.name in fleet.cordoned:
+                continue
             if m.entries and len(fleet.type_info) > 1:
                 continue  # with several types, need in all says little about the need of this one
             if m.spot and now - m.up_at > KEEP_IDLE_S:
@@ -89,6 +91,8 @@
             if m.phase is Phase.LEAVING:
                 out.append(m)
                 continue
+            if m.name in self.fleet.maintained:
+                continue
             if m.failed:
                 why = "it has failed"
             elif m.up_at < 0 and self.supply.lists.unlisted(m) and leading > self.supply.lists.late_s:
--- a/hookwall/supply.py
+++ b/hookwall/supply.py
@@ -71,6 +71,8 @@
         """(ordinary, all) machines that stand ready or are on their way."""
         solid = total = 0
         for m in self.fleet.machines.values():
+            if m.name in self.fleet.cordoned:
+                continue
             if (m.phase is Phase.UP and not m.silent) or self.expected(m, now):
                 total += 1
                 solid += not m.spot
--- a/run.py
+++ b/run.py
@@ -23,8 +23,9 @@
 
 
 def find(path: str) -> FileFinder:
-    """A finder for our own package's folder; other folders keep theirs."""
-    if path != os.path.join(ROOT, "hookwall"):
+    """A finder for the folders of our own package; other folders keep theirs."""
+    package = os.path.join(ROOT, "hookwall")
+    if path != package and not path.startswith(package + os.sep):
         raise ImportError
     return FileFinder(path, (BuiltLoader, [".py"]))
 
--- /dev/null
+++ b/tests/drain_world.py
@@ -0,0 +1,170 @@
+"""Drains in the one-clock world: the operator's command against its stand-ins, and the ground truth about budgets."""
+
+import json
+from dataclasses import dataclass, field
+from typing import Any
+
+from world import Task, Worker, World, path
+
+from hookwall import cli, keys
+from hookwall.cloud_client import CloudClient
+from hookwall.drains.command import DrainCommand, ExitCode, execute
+from hookwall.drains.records import DrainRecord, decode
+from hookwall.operations import Budget, DrainSettings, Operations
+from hookwall.settings import External, Seed, Settings, Team
+from hookwall.store import Store
+
+PERIOD_S = 20.0
+TEAMS = [Team("red"), Team("blue")]
+
+
+def operations(**jobs: int) -> Operations:
+    """Budgets by team, as numbers of jobs."""
+    budgets = [Budget(team, jobs=most, period_s=PERIOD_S) for team, most in jobs.items()]
+    return Operations(DrainSettings(True, budgets))
+
+
+@dataclass
+class Loss:
+    """A job that lost running tasks."""
+
+    ref: str
+    team: str
+    at: float
+    ran: int
+    by_drain: bool
+    restored: bool = False
+
+
+@dataclass
+class BudgetOracle:
+    """What workers show of lost work, compared with the budgets; knows nothing of the controllers' memory."""
+
+    world: World
+    budgets: dict[str, int]
+    of_drains_only: bool = False  # where controllers can't know in time of everything else that is lost
+    losses: list[Loss] = field(default_factory=list)
+    by_drains: list[str] = field(default_factory=list)
+
+    def watch(self) -> "BudgetOracle":
+        self.world.on_end.append(self.ended)
+        self.world.on_step.append(self.follow)
+        return self
+
+    def _running(self, ref: str) -> int:
+        return sum(
+            piece.rpartition("/")[0] == ref and task.phase == "running"
+            for worker in self.world.workers.values() for piece, task in worker.tasks.items()
+        )  # fmt: skip
+
+    def _by_drain(self, ref: str, worker: Worker, task: Task, cause: str) -> bool:
+        """Whether it was told to stop in an orderly way, and its machine, or one of its gang's, is being drained."""
+        if cause != "halted" or not task.grace_s:
+            return False
+        stored = self.world.service.keys
+        machines = [worker.name]
+        if self.world.jobs[ref].spec["shape"] == "ensemble":
+            machines += [
+                w.name for w in self.world.workers.values() if any(p.rpartition("/")[0] == ref for p in w.tasks)
+            ]
+        return any(keys.CORDON + machine in stored for machine in machines)
+
+    def ended(self, worker: Worker, piece: str, task: Task, cause: str) -> None:
+        """A running task is over: a loss unless it is done or its user cancelled it."""
+        ref = piece.rpartition("/")[0]
+        job = self.world.jobs[ref]
+        if cause == "done" or job.asked_to_cancel:
+            return
+        open_loss = next((loss for loss in self.losses if loss.ref == ref and not loss.restored), None)
+        if open_loss is not None:
+            open_loss.at = self.world.now()
+            return
+        by_drain = self._by_drain(ref, worker, task, cause)
+        self.losses.append(Loss(ref, job.spec["owner"], self.world.now(), self._running(ref), by_drain))
+        if by_drain:
+            self.by_drains.append(ref)
+            used = self.used(job.spec["owner"])
+            if used > self.budgets.get(job.spec["owner"], 10**9):
+                self.world.broken.append(f"budget: {used} jobs of {job.spec['owner']} at {self.world.now():.1f}")
+
+    def follow(self) -> None:
+        """Which jobs run again as before."""
+        for loss in self.losses:
+            job = self.world.jobs[loss.ref]
+            left = job.spec["pieces"] - len(job.done)
+            if not loss.restored and (job.asked_to_cancel or self._running(loss.ref) >= min(loss.ran, left)):
+                loss.restored = True
+
+    def used(self, team: str) -> int:
+        """How many jobs of a team are disrupted now, or were within the period.
+
+        The leader counts a job that recovered and is disrupted again twice. Here it is one: a task that was told to
+        stop before may end just after the others have come back, and only the leader knows that this is one disruption.
+        """
+        now = self.world.now()
+        return len(
+            {
+                loss.ref
+                for loss in self.losses
+                if loss.team == team
+                and (loss.by_drain or not self.of_drains_only)
+                and not (loss.restored and now > loss.at + PERIOD_S)
+            }
+        )
+
+
+class Operator:
+    """Calls the command as a shell would, and reads what it prints."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        seeds = [Seed(name, f"127.0.0.1:{7000 + i}") for i, name in enumerate(world.names) if i]
+        services = External("127.0.0.1:1", "127.0.0.1:2")
+        self.settings = Settings(world.names[0], "127.0.0.1:7100", "127.0.0.1:7200", services, world.params, seeds)
+
+    async def __call__(self, *words: str) -> tuple[int, Any]:
+        """Exit code and printed value."""
+        w = self.world
+        store = Store("127.0.0.1:2", w.params.state, w.params.size, w.now)
+        client = CloudClient("127.0.0.1:1", 100.0, w.now)
+        store.call = lambda s, method, url, body, t: w.service.call("operator", method, path(url), body, t)
+        client.call = lambda s, method, url, body, t: w.cloud.call("operator", method, path(url), body, t)
+        said: list[str] = []
+        command = DrainCommand(
+            self.settings, w.operations or Operations(), store, client, said.append, w.now, w.now
+        )  # fmt: skip
+        args = cli.parser().parse_args(["drain", *words, "--config", "-", "--json"])
+        code = await execute(command, args)
+        return code, json.loads(said[0]) if said else None
+
+    async def start(self, name: str, *words: str) -> None:
+        code, _ = await self("start", name, *words)
+        assert code == ExitCode.OK, (name, code)
+
+    async def status(self, name: str) -> dict[str, Any]:
+        code, value = await self("status", name)
+        assert code == ExitCode.OK
+        return value["drains"][0]
+
+    def record(self, name: str) -> DrainRecord:
+        """What is stored, without asking anybody."""
+        return decode(self.world.service.keys[keys.DRAIN + name][0], DrainRecord)
+
+    async def ends(self, name: str, within_s: float, phase: str = "finished") -> None:
+        await self.world.until(
+            lambda: self.record(name).phase.value == phase, within_s, f"{name} has not {phase}: {self.record(name)}"
+        )
+
+    async def waits_for(self, name: str, text: str, within_s: float) -> None:
+        await self.world.until(
+            lambda: text in self.record(name).reason, within_s, f"{name} doesn't say {text!r}: {self.record(name)}"
+        )
+
+
+def cordoned(world: World) -> set[str]:
+    """The machines that are out of service for a drain, as stored."""
+    return {key.removeprefix(keys.CORDON) for key in world.service.keys if key.startswith(keys.CORDON)}
+
+
+def drain_phases(world: World) -> set[str]:
+    return {value["phase"] for key, (value, _, _) in world.service.keys.items() if key.startswith(keys.DRAIN)}
--- a/tests/production.py
+++ b/tests/production.py
@@ -112,7 +112,16 @@
             super()._take_key(key, value, stamp)
 
 
-OLD_NODES = {1: Format1Node, 2: Format2Node}
+class Format3Node(Node):
+    """A node that writes and says only what programs of format 3 do: drains and cordons mean nothing to it."""
+
+    def __init__(self, settings, clock, wall, broken: list[str]) -> None:
+        super().__init__(settings, clock, wall)
+        self.formats.current = Format.NUMBERED
+        self.formats.heard_of = {settings.node_name: int(Format.NUMBERED)}
+
+
+OLD_NODES = {1: Format1Node, 2: Format2Node, 3: Format3Node}
 
 
 def without_needs(body: bytes) -> bytes:
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -56,7 +56,7 @@
     node.fleet.reset(5)
     node.cancellations.read(clock())
     for number in range(machines):
-        node.take_beat(report(number, 1))
+        node.beats.take(report(number, 1))
     return node
 
 
@@ -66,7 +66,7 @@
 
 
 def test_a_report_costs_the_same_in_any_fleet(fleets):
-    small, large = (operations(lambda node=node: node.take_beat(report(7, 2))) for node in fleets)
+    small, large = (operations(lambda node=node: node.beats.take(report(7, 2))) for node in fleets)
     assert 0 < large <= small
 
 
--- /dev/null
+++ b/tests/test_drain_command.py
@@ -0,0 +1,264 @@
+"""`hookwall drain`: what it refuses, what it prints, and that only some of it writes."""
+
+import asyncio
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from drain_world import TEAMS, Operator, cordoned, drain_phases, operations
+from test_drains import BLUE, LONG_S, RED, WHOLE, drained, machine_of, running_jobs
+from world import play
+
+from hookwall import keys
+from hookwall.drains.bound import Load, LoadedJob, fewest_waves
+from hookwall.drains.command import ExitCode
+from hookwall.operations import Operations, check
+from hookwall.operations import load as load_operations
+from hookwall.settings import BadSettings
+
+ROOT = Path(__file__).parent.parent
+
+
+@pytest.mark.parametrize(
+    ("words", "says"),
+    [
+        (["--zone", "north"], "--zone: unknown: 'north'; the zones are east, west"),
+        (["--type", "g9"], "--type: unknown: 'g9'; the machine types are g4"),
+        (["--machine", "vm-000099"], "--machine: unknown: vm-000099; the machines are vm-000001"),
+        (["--machine", "vm-000001", "--zone", "east"], "--machine: can't be combined"),
+        ([], "which machines"),
+        (["--zone", "east", "--batch", "0"], "--batch: must be a whole number from 1"),
+        (["--zone", "east", "--finish", "-1"], "--finish: must be a number of seconds from 0"),
+        (["--zone", "east", "--deadline", "nan"], "--deadline: must be a positive number"),
+        (["--zone", "east", "--at-deadline", "abort"], "--at-deadline: needs --deadline"),
+        (["--share", "1.5"], "--share: must be a number above 0 and up to 1"),
+    ],
+)
+def test_bad_input_is_named_and_changes_nothing(words, says, capsys):
+    async def scenario(w, operator):
+        for action in (["plan"], ["start", "kernel"]):
+            code, value = await operator(*action, *words)
+            assert (code, value) == (ExitCode.BAD_INPUT, None)
+            assert says in capsys.readouterr().err
+        assert not drain_phases(w)
+
+    drained(scenario)
+
+
+def test_bad_names_and_words_that_no_number_is(capsys):
+    async def scenario(w, operator):
+        for name in ("Kernel", "a/b", "x" * 65, ""):
+            assert (await operator("start", name, "--zone", "east"))[0] == ExitCode.BAD_INPUT
+            assert "NAME: up to 64 of" in capsys.readouterr().err
+        for words in (["--batch", "two"], ["--share", "half"], ["--at-deadline", "kill"], ["--then", "burn"]):
+            with pytest.raises(SystemExit) as ended:
+                await operator("plan", "--zone", "east", *words)
+            assert ended.value.code == 2 and words[0] in capsys.readouterr().err
+
+    drained(scenario)
+
+
+def test_teams_without_a_budget_are_only_disrupted_where_that_is_said(capsys):
+    async def scenario(w, operator):
+        assert (await operator("start", "kernel", "--zone", "east"))[0] == ExitCode.BAD_INPUT
+        assert "no disruption budget for blue" in capsys.readouterr().err
+        (ref,) = await running_jobs(w, BLUE, **WHOLE)
+        w.cloud.room = 2
+        await operator.start("kernel", "--machine", machine_of(w, ref), "--unbudgeted")
+        await operator.ends("kernel", 60.0)
+
+    drained(scenario, budgets={"red": 1})
+
+
+def test_the_same_drain_again_is_answered_with_its_state_and_another_is_refused(capsys):
+    async def scenario(w, operator):
+        await running_jobs(w, RED, **WHOLE)
+        await operator.start("kernel", "--zone", "east")
+        before = w.service.keys[keys.DRAIN + "kernel"]
+        code, told = await operator("start", "kernel", "--zone", "east")
+        assert code == ExitCode.OK and told["drains"][0]["name"] == "kernel"
+        assert (await operator("start", "kernel", "--zone", "west"))[0] == ExitCode.BAD_INPUT
+        assert "exists already with other terms" in capsys.readouterr().err
+        assert w.service.keys[keys.DRAIN + "kernel"][0]["request"] == before[0]["request"]
+
+    drained(scenario)
+
+
+def test_failures_of_the_service_are_told_apart():
+    async def scenario(w, operator):
+        assert (await operator("status", "none"))[0] == ExitCode.NOT_FOUND
+        assert (await operator("abort", "none"))[0] == ExitCode.NOT_FOUND
+        await running_jobs(w, RED, **WHOLE)
+        w.cloud.down = True
+        assert (await operator("plan", "--zone", "east"))[0] == ExitCode.UNAVAILABLE
+        assert (await operator("status"))[0] == ExitCode.OK, "status needs no list"
+        w.cloud.down = False
+        w.service.refused.add("operator")
+        assert (await operator("start", "kernel", "--zone", "east"))[0] == ExitCode.UNAVAILABLE
+        w.service.refused.clear()
+        w.service.late = lambda node, body: 1.0 if node == "operator" else None
+        assert (await operator("start", "kernel", "--zone", "east"))[0] == ExitCode.UNAVAILABLE
+        w.service.late = lambda node, body: None
+        await asyncio.sleep(2.0)
+        assert (await operator("start", "kernel", "--zone", "east"))[0] == ExitCode.OK, "it was carried out late"
+        commit = w.service.commit
+        w.service.commit = lambda body: (400, {"error": "malformed"})
+        assert (await operator("start", "other", "--zone", "west"))[0] == ExitCode.REFUSED
+        w.service.commit = lambda body: (409, {"failed": [keys.DRAIN + "kernel"], "epoch": 1})
+        assert (await operator("abort", "kernel"))[0] == ExitCode.CONFLICT
+        w.service.commit = commit
+
+    drained(scenario)
+
+
+def test_a_preview_names_the_jobs_of_each_wave_and_changes_nothing():
+    async def scenario(w, operator):
+        w.cloud.room = 2
+        refs = await running_jobs(w, RED, RED, BLUE, **WHOLE)
+        await asyncio.sleep(10.0)
+        before = dict(w.service.keys)
+        machines = [part for ref in refs for part in ("--machine", machine_of(w, ref))]
+        code, told = await operator("plan", *machines, "--batch", "3", "--fewest")
+        assert code == ExitCode.OK and told["disrupted"] == {"red": 2, "blue": 1}
+        assert told["fewest_waves"] == 2 and told["fewest_is_exact"]
+        assert sorted(ref for wave in told["waves"] for jobs in wave["jobs"].values() for ref in jobs) == sorted(refs)
+        assert all(len(jobs) <= 1 for wave in told["waves"] for jobs in wave["jobs"].values())
+        assert [len(wave["machines"]) for wave in told["waves"]] == [1, 1, 1], "one free machine at a time"
+        drains = {k: v for k, v in w.service.keys.items() if k.startswith((keys.DRAIN, keys.CORDON, keys.DISRUPTED))}
+        assert not drains and before.keys() == w.service.keys.keys()
+
+    drained(scenario)
+
+
+def test_a_preview_says_what_can_t_be_drained_and_why():
+    async def scenario(w, operator):
+        refs = await running_jobs(w, RED, RED, BLUE, BLUE, **WHOLE)
+        code, told = await operator("plan", "--zone", "east")
+        assert code == ExitCode.OK and not told["waves"] and len(told["left"]) == 2
+        assert {wait["kind"] for wait in told["waits"]} == {"room"} and told["jobs_without_room"] == 1
+        assert refs
+
+    drained(scenario)
+
+
+def test_status_waits_for_the_end_for_as_long_as_it_was_told():
+    async def scenario(w, operator):
+        (ref,) = await running_jobs(w, RED, run_s=LONG_S, **WHOLE)
+        await operator.start("kernel", "--machine", machine_of(w, ref), "--finish", "30")
+        began = w.now()
+        assert (await operator("status", "kernel", "--wait", "5"))[0] == ExitCode.WAITING
+        assert 5.0 <= w.now() - began < 8.0 and cordoned(w)
+        w.cloud.room = 1
+        assert (await operator("status", "kernel", "--wait", "200"))[0] == ExitCode.OK
+
+    drained(scenario)
+
+
+def test_a_share_takes_the_machines_with_the_fewest_tasks():
+    async def scenario(w):
+        operator = Operator(w)
+        refs = await running_jobs(w, RED, BLUE, **WHOLE)
+        busy = {machine_of(w, ref) for ref in refs}
+        await operator.start("kernel", "--share", "0.5")
+        assert not busy & set(operator.record("kernel").machines())
+
+    play(scenario, teams=TEAMS, operations=operations(red=1, blue=1))
+
+
+# -- the fewest waves ------------------------------------------------------------------------------
+
+
+def loads(*machines: tuple[str, ...], gangs: frozenset[str] = frozenset()) -> list[Load]:
+    return [Load(f"vm-{i}", tuple(LoadedJob(j, "red", j in gangs) for j in jobs)) for i, jobs in enumerate(machines)]
+
+
+@pytest.mark.parametrize(
+    ("machines", "batch", "budget", "fewest"),
+    [
+        ([("a",), ("b",), ("c",)], 3, 3, 1),
+        ([("a",), ("b",), ("c",)], 2, 3, 2),
+        ([("a",), ("b",), ("c",)], 3, 1, 3),
+        ([("a",), ("a",), ("b",)], 3, 1, 2),
+        ([("a", "b", "c", "d")], 1, 2, 2),
+        ([("a", "b"), ("c",), ("d", "e"), ("f",)], 4, 3, 2),
+        ([], 1, 1, 0),
+    ],
+)
+def test_the_fewest_waves(machines, batch, budget, fewest):
+    bound = fewest_waves(loads(*machines), batch, {"red": budget}, most=6)
+    assert (bound.waves, bound.exact) == (fewest, True)
+
+
+def test_a_gang_that_was_stopped_once_is_gone_from_its_other_machines():
+    gang = loads(("g", "a"), ("g", "b"), gangs=frozenset("g"))
+    assert fewest_waves(gang, 1, {"red": 2}, most=4).waves == 2
+    assert fewest_waves(gang, 2, {"red": 3}, most=4).waves == 1
+
+
+# -- the operators' file ---------------------------------------------------------------------------
+
+
+def read(tmp_path, text: str, params) -> Operations:
+    path = tmp_path / "operations.toml"
+    path.write_text(text)
+    return load_operations(str(path), params)
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("drain = 1", "drain"),
+        ("[drain]\nenabled = 'yes'", "drain.enabled"),
+        ("[[drain.budgets]]\nteam = 'red'", "team 'red': needs jobs"),
+        ("[[drain.budgets]]\nteam = 'red'\njobs = -1", "jobs must be a whole number from 0, is -1"),
+        ("[[drain.budgets]]\nteam = 'red'\njobs = 'two'", "jobs"),
+        ("[[drain.budgets]]\nteam = 'red'\nshare = 1.2", "share must be a number from 0 to 1"),
+        ("[[drain.budgets]]\nteam = 'red'\njobs = 1\nperiod_s = 0", "period_s must be a positive number"),
+        ("[[drain.budgets]]\nteam = 'pink'\njobs = 1", "team 'pink': unknown; the teams are blue, grey, red"),
+        ("[[drain.budgets]]\nteam = 'red'\njobs = 1\n[[drain.budgets]]\nteam = 'red'\njobs = 2", "occurs twice"),
+        ("[drain", "not TOML"),
+    ],
+)
+def test_a_bad_operators_file_is_refused_by_name(tmp_path, params, text, says):
+    with pytest.raises(BadSettings, match="(?s).*" + says.replace("'", ".")):
+        read(tmp_path, text, params)
+
+
+def test_unknown_settings_are_ignored_and_without_a_file_all_is_off(tmp_path, params):
+    own = read(tmp_path, "colour = 1\n[drain]\nenabled = true\nlater = 2\n", params)
+    assert own.drain.enabled and not load_operations(None, params).drain.enabled
+    with pytest.raises(BadSettings, match="cannot read"):
+        load_operations(str(tmp_path / "none.toml"), params)
+
+
+def test_the_deployed_file_holds_for_any_teams(params):
+    own = load_operations(str(ROOT / "deploy" / "operations.toml"), params)
+    assert own.drain.enabled and check(own, params) == own
+
+
+def test_the_program_refuses_a_bad_file_with_status_2(tmp_path):
+    bad = tmp_path / "operations.toml"
+    bad.write_text("[drain]\nenabled = 3\n")
+    config = tmp_path / "settings.toml"
+    config.write_text(SETTINGS)
+    for words in (["serve"], ["drain", "status"]):
+        run = [sys.executable, "-m", "hookwall", *words, "--config", str(config), "--operations", str(bad)]
+        ended = subprocess.run(run, cwd=ROOT, capture_output=True, text=True, timeout=60)
+        assert ended.returncode == 2 and "drain.enabled" in ended.stderr, ended.stderr
+
+
+SETTINGS = """
+node_name = "n0"
+public_addr = "127.0.0.1:1"
+peer_listen = "127.0.0.1:2"
+[external]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[settings]
+size = 1
+zones = ["east"]
+workers = { report_s = 2.0, lease_s = 12.0, gang_wait_s = 40.0, gang_peer_s = 8.0, cancel_s = 37.0 }
+state = { rps = 100.0, write_rps = 30.0, value_kb = 16.0, txn_ops = 12 }
+cloud = { rps = 2.0, list_lag_s = 5.0 }
+"""
--- /dev/null
+++ b/tests/test_drain_ledger.py
@@ -0,0 +1,133 @@
+"""Disruptions, budgets, and how drains are stored."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from hookwall import machine_names
+from hookwall.drains import records
+from hookwall.drains.drain_table import DrainTable
+from hookwall.drains.ledger import Ledger, allowance
+from hookwall.drains.records import DisruptionPage, DrainRecord, StepRecord
+from hookwall.operations import Budget
+from hookwall.records import MalformedRecord
+
+GOLDEN = json.loads((Path(__file__).parent / "golden" / "drains_1.json").read_text())
+PERIOD_S = 60.0
+
+
+@pytest.fixture
+def ledger():
+    return Ledger([Budget("red", jobs=2, period_s=PERIOD_S)], value_limit=2048, margin_s=0.5)
+
+
+@pytest.mark.parametrize(
+    ("budget", "running", "allowed"),
+    [
+        (Budget("red", jobs=3), 100, 3),
+        (Budget("red", jobs=0), 100, 0),
+        (Budget("red", share=0.1), 39, 3),
+        (Budget("red", share=0.1), 4, 1),
+        (Budget("red", share=0.0), 100, 0),
+        (Budget("red", jobs=2, share=0.5), 100, 2),
+        (Budget("red", jobs=50, share=0.1), 100, 10),
+    ],
+)
+def test_a_share_is_rounded_down_but_not_to_nothing_and_the_smaller_limit_holds(budget, running, allowed):
+    assert allowance(budget, running) == allowed
+
+
+def test_a_disruption_counts_until_its_period_is_over_and_the_job_runs_as_before(ledger):
+    ledger.spend("run-000001", "red", ran=3, now=100.0)
+    ledger.follow(lambda ref: 2, 100.0 + 2 * PERIOD_S)
+    assert ledger.used("red") == 1, "it has not recovered"
+    ledger.follow(lambda ref: 3, 100.0 + PERIOD_S)
+    assert ledger.used("red") == 1, "two nodes' times of day may differ"
+    ledger.follow(lambda ref: 0, 101.0 + PERIOD_S)
+    assert ledger.used("red") == 0, "it had recovered before"
+
+
+def test_a_job_that_is_over_has_recovered(ledger):
+    ledger.spend("run-000001", "red", ran=3, now=100.0)
+    ledger.follow(lambda ref: None, 100.0)
+    assert ledger.open_entry("run-000001") is None and ledger.used("red") == 1
+
+
+def test_a_job_counts_once_until_it_recovers_and_once_more_after(ledger):
+    ledger.spend("run-000001", "red", ran=3, now=100.0)
+    ledger.spend("run-000001", "red", ran=1, now=110.0)
+    assert ledger.used("red") == 1 and ledger.open_entry("run-000001").ran == 3
+    ledger.follow(lambda ref: 3, 111.0)
+    ledger.spend("run-000001", "red", ran=3, now=112.0)
+    assert ledger.used("red") == 2
+    ledger.spend("run-000002", "blue", ran=1, now=112.0)
+    assert ledger.used("blue") == 0, "nobody asks about a team without a budget"
+
+
+def test_more_entries_than_a_value_holds_go_on_further_pages(ledger):
+    for n in range(100):
+        ledger.spend(f"run-{n:06d}", "red", ran=1, now=100.0)
+    assert len(ledger.pages) == 4
+    for page in ledger.pages.values():
+        assert len(json.dumps(records.encode(DisruptionPage(entries=page.entries)))) < 2048
+    ledger.follow(lambda ref: 1, 200.0)
+    for number in list(ledger.pages):
+        ledger.stored(number, 0)
+    assert not ledger.pages
+
+
+def test_what_changes_while_a_page_is_written_is_written_again(ledger):
+    ledger.spend("run-000001", "red", ran=1, now=100.0)
+    ledger.pages[0].dirty = False
+    ledger.spend("run-000002", "red", ran=1, now=100.0)
+    ledger.stored(0, 7)
+    assert ledger.dirty() == [0] and ledger.pages[0].stamp == 7
+
+
+# -- records ---------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("name", "kind"), [("drain", DrainRecord), ("step", StepRecord), ("page", DisruptionPage)])
+def test_stored_records_are_read_and_written_as_they_were(name, kind):
+    record = records.decode(GOLDEN[name], kind)
+    assert records.encode(record) == GOLDEN[name]
+
+
+def test_the_golden_drain_means_what_it_did():
+    record = records.decode(GOLDEN["drain"], DrainRecord)
+    assert record.machines() == ["vm-000002", "vm-000007"] and record.total == 3 and record.active()
+    assert record.overdue(1900.1) and not record.overdue(1899.9)
+
+
+@pytest.mark.parametrize("change", [{"version": 2}, {"phase": "sleeping"}, {"batch": "two"}, {"remaining": 7}])
+def test_a_record_that_can_t_be_read_is_left_alone(change):
+    table = DrainTable(Ledger([], 2048, 0.0))
+    table.take("hookwall/drain/kernel", {**GOLDEN["drain"], **change}, 5)
+    assert not table.drains
+    with pytest.raises(MalformedRecord):
+        records.decode({**GOLDEN["step"], "version": 2}, StepRecord)
+
+
+def test_a_step_that_can_t_be_read_keeps_new_work_off_its_machine():
+    table = DrainTable(Ledger([], 2048, 0.0))
+    table.take("hookwall/cordon/vm-000002", {**GOLDEN["step"], "version": 2}, 5)
+    assert table.cordoned == {"vm-000002"} and not table.steps
+    table.read_all([])
+    assert not table.cordoned
+
+
+def test_an_older_state_of_a_key_changes_nothing():
+    table = DrainTable(Ledger([], 2048, 0.0))
+    table.take("hookwall/cordon/vm-000002", GOLDEN["step"], 9)
+    table.take("hookwall/cordon/vm-000002", {**GOLDEN["step"], "phase": "empty"}, 8)
+    table.remove("hookwall/cordon/vm-000002", 8)
+    assert table.steps["vm-000002"].record.phase.value == "draining" and not table.maintained
+    table.remove("hookwall/cordon/vm-000002", 10)
+    assert not table.steps and not table.cordoned
+
+
+def test_thousands_of_machines_fit_a_small_value():
+    names = [f"vm-{n:06d}" for n in range(0, 8000, 2)]
+    record = records.decode({**GOLDEN["drain"], "remaining": machine_names.encode(names)}, DrainRecord)
+    assert len(json.dumps(records.encode(record))) < 1843 and record.machines() == names
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -1,5 +1,6 @@
-"""Random histories, the same in each run: `histories.py` and `pipeline_histories.py` say what is checked."""
+"""Random histories, the same in each run: `histories.py` and those beside it say what is checked."""
 
+import drain_histories
 import pipeline_histories
 import pytest
 from histories import broken_by
@@ -17,3 +18,9 @@
 def test_no_history_of_pipelines_and_upgrades_breaks_a_rule(seed):
     _, broken, log = pipeline_histories.broken_by(seed, quiet=False)
     assert not broken, log
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_history_of_drains_breaks_a_rule_or_a_budget(seed):
+    _, broken, log = drain_histories.broken_by(seed, quiet=False)
+    assert not broken, log
--- a/tests/world.py
+++ b/tests/world.py
@@ -20,11 +20,13 @@
 
 from hookwall.client import NoAnswer
 from hookwall.node import Node
+from hookwall.operations import Operations
 from hookwall.settings import Cloud, External, Params, Seed, Settings, State, Team, Workers
 
 STEP_S = 0.1
 RUNS_IN: contextvars.ContextVar[str] = contextvars.ContextVar("the node that a task belongs to")
 WIRE_S = 0.002
+WORKERS = Workers(report_s=2.0, lease_s=12.0, gang_wait_s=40.0, gang_peer_s=8.0, cancel_s=37.0)
 
 
 def path(url: str) -> str:
@@ -246,6 +248,7 @@
     since: float
     cause: str | None = None
     stopped: float | None = None
+    grace_s: float = 0.0  # the longest that a command to stop gave it
 
     def there(self) -> bool:
         """On its machine, as rules count it."""
@@ -281,7 +284,12 @@
 
     def gone(self) -> None:
         self.off = True
-        for task in self.tasks.values():
+        self._end_all()
+
+    def _end_all(self) -> None:
+        """All tasks are over, and nobody hears how."""
+        for piece, task in self.tasks.items():
+            self.world.ends(self, piece, task, "killed")
             task.phase = "exited"
         self.tasks.clear()
 
@@ -307,6 +315,8 @@
             if self.hung or w.now() - last < (0.5 if self.changed else due):
                 continue
             last, self.changed = w.now(), False
+            # One that hung ends its tasks first: it reported them in the old session, had an answer, and ran on.
+            self.end_lease(w.now())
             await self.ask()
 
     async def ask(self) -> None:
@@ -361,24 +371,40 @@
                 if o["verb"] == "forget" and task.phase == "exited":
                     del self.tasks[piece]
                 elif o["verb"] == "stop" and task.phase != "exited":
-                    self.exit(task, "halted")
+                    self.stop(piece, task, o["windDownS"])
             self.changed = True
 
-    def exit(self, task: Task, cause: str) -> None:
+    def stop(self, piece: str, task: Task, grace_s: float) -> None:
+        """A task that has checkpoints, and time to save, saves first; a second stop without time ends it."""
+        job = self.world.jobs[piece.rpartition("/")[0]]
+        spec = job.spec
+        task.grace_s = max(task.grace_s, grace_s)
+        if grace_s and task.phase == "saving":
+            return
+        if task.phase == "running" and job.save_s and spec["pinEveryS"] > 0 and grace_s >= spec["pinCostS"]:
+            self.world.ends(self, piece, task, "halted")
+            task.phase, task.since = "saving", self.world.now()
+        else:
+            self.exit(piece, task, "halted")
+
+    def exit(self, piece: str, task: Task, cause: str) -> None:
+        self.world.ends(self, piece, task, cause)
         task.phase, task.cause = "exited", cause
         self.changed = True
 
-    def step(self, now: float) -> None:
-        """Progress of tasks, and the lease."""
-        if self.hung or self.lease_from == 0.0 or now < self.lease_from:
-            return
+    def end_lease(self, now: float) -> None:
+        """Begin the next session if the lease is over."""
         if now > self.lease_from + self.world.params.workers.lease_s:
-            for task in self.tasks.values():
-                task.phase = "exited"
-            self.tasks.clear()
+            self._end_all()
             self.tenure += 1
             self.lease_from = now
             self.changed = True
+
+    def step(self, now: float) -> None:
+        """Progress of tasks, and the lease."""
+        if self.hung or self.lease_from == 0.0 or now < self.lease_from:
+            return
+        self.end_lease(now)
         for piece, task in self.tasks.items():
             self.world.progress(self, piece, task, now)
 
@@ -389,6 +415,7 @@
 
     spec: dict
     run_s: float
+    save_s: float = 0.0  # how long its tasks save when they are stopped
     ends: dict[int, float] = field(default_factory=dict)  # run time of single tasks, where it differs
     accepted: bool = False
     cancelled_at: float | None = None
@@ -414,11 +441,12 @@
         self.params = Params(
             size=nodes,
             zones=["east", "west"],
-            workers=Workers(report_s=2.0, lease_s=12.0, gang_wait_s=40.0, gang_peer_s=8.0, cancel_s=37.0),
+            workers=limits.get("workers", WORKERS),
             state=limits.get("state", State(rps=150.0, write_rps=50.0, value_kb=16.0, txn_ops=12)),
             cloud=Cloud(rps=2.0, list_lag_s=5.0),
             teams=limits.get("teams", [Team("red", gpus=8.0, gpus_max=8.0), Team("grey")]),
         )
+        self.operations: Operations | None = limits.get("operations")
         self.catalog = json.dumps(
             {"hulls": [{"label": "g4", "cores": 32, "cards": 4, "memGb": 256, "localGb": 40, "pullGbPerS": 5.0,
                         "price": 10.0, "spotPrice": 4.0, "startupS": 10, "yards": ["east", "west"]}]}
@@ -436,6 +464,7 @@
         self.frozen: dict[str, asyncio.Event] = {}  # nodes that stand still, until their event is set
         self.on_step: list[Callable[[], None]] = []
         self.on_launch: list[Callable[[Worker, str, int], None]] = []  # a worker executes a launch
+        self.on_end: list[Callable[[Worker, str, Task, str], None]] = []  # a task that ran is over, or begins to save
         self.loop.set_task_factory(self._task)
         self.go(self._steps())
 
@@ -469,7 +498,7 @@
         if old:
             node = OLD_NODES[old](settings, self.now, self.now, self.broken)
         else:
-            node = Node(settings, self.now, self.now)
+            node = Node(settings, self.now, self.now, self.operations)
         node.store.call = lambda session, method, url, body, t: self.service.call(name, method, path(url), body, t)
         node.client.call = lambda session, method, url, body, t: self.cloud.call(name, method, path(url), body, t)
         node.leadership.peers = [Link(self, name, n) for n in self.names if n != name]
@@ -568,17 +597,25 @@
             task.phase, task.since = "running", now
             worker.changed = True
         if task.phase == "waiting" and now - task.since > self.params.workers.gang_wait_s:
-            worker.exit(task, "alone")
+            worker.exit(piece, task, "alone")
         elif task.phase == "running" and now - task.since >= job.ends.get(int(number), job.run_s):
             job.done.update(range(job.spec["pieces"]) if gang else [int(number)])
-            worker.exit(task, "done")
+            worker.exit(piece, task, "done")
+        elif task.phase == "saving" and now - task.since >= job.save_s:
+            worker.exit(piece, task, "halted")
         elif task.phase == "running" and gang and len(job.done) < job.spec["pieces"]:
             if self._mates(ref, task.attempt, ("waiting", "running")) == job.spec["pieces"]:
                 task.stopped = None
             elif task.stopped is None:
                 task.stopped = now
             elif now - task.stopped > self.params.workers.gang_peer_s:
-                worker.exit(task, "mates_gone")
+                worker.exit(piece, task, "mates_gone")
+
+    def ends(self, worker: Worker, piece: str, task: Task, cause: str) -> None:
+        """A task that ran is over, or begins to save."""
+        if task.phase == "running":
+            for check in self.on_end:
+                check(worker, piece, task, cause)
 
     def _mates(self, ref: str, attempt: int, phases: tuple[str, ...]) -> int:
         return sum(
@@ -685,7 +722,7 @@
 
     def job(self, n: int, run_s: float = 30.0, ends: dict[int, float] | None = None, **changes: Any) -> str:
         spec = description(n, **changes)
-        self.jobs[spec["ref"]] = JobFacts(spec, run_s, ends or {})
+        self.jobs[spec["ref"]] = JobFacts(spec, run_s, ends=ends or {})
         return spec["ref"]
 
     @staticmethod
