--- a/hookwall/cli.py
+++ b/hookwall/cli.py
@@ -7,7 +7,6 @@
 import sys
 
 from hookwall import __version__
-from hookwall.drains import arguments as drains
 from hookwall.operations import load as load_operations
 from hookwall.settings import BadSettings, load
 
@@ -16,7 +15,8 @@
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
-def parser() -> argparse.ArgumentParser:
+def parser(with_tools: bool = True) -> argparse.ArgumentParser:
+    """All commands; without the operators' tools where only the daemon is to start, which should listen soon."""
     p = argparse.ArgumentParser(prog="hookwall", description="A cluster scheduler.")
     p.add_argument("--version", action="version", version=f"hookwall {__version__}")
     commands = p.add_subparsers(dest="command", required=True, metavar="COMMAND")
@@ -24,7 +24,10 @@
     serve.add_argument("--config", required=True, metavar="FILE", help="the platform's settings file (TOML)")
     serve.add_argument("--operations", metavar="FILE", help="the operators' own settings: what is switched on (TOML)")
     serve.set_defaults(run=run_serve)
-    drains.add_parser(commands)
+    if with_tools:
+        from hookwall.drains import arguments
+
+        arguments.add_parser(commands)
     return p
 
 
@@ -69,7 +72,8 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    args = parser().parse_args(argv)
+    words = sys.argv[1:] if argv is None else argv
+    args = parser(with_tools=words[:1] != ["serve"]).parse_args(words)
     try:
         return args.run(args)
     except BadSettings as e:
--- a/hookwall/drains/controller.py
+++ b/hookwall/drains/controller.py
@@ -40,7 +40,6 @@
 
 log = logging.getLogger("hookwall.drains")
 
-LOOK_S = 1.0
 AFTER_TROUBLE_S = 0.7
 STALL_S = 60.0  # so long without a step, a drain is stalled
 REASON_EVERY_S = 5.0  # how often the reason of one drain is stored at the most
@@ -63,7 +62,6 @@
         clock: Callable[[], float],
         wall: Callable[[], float],
     ) -> None:
-        self.enabled = settings.enabled
         self.fleet, self.scheduler = fleet, scheduler
         self.jobs, self.clock, self.wall = scheduler.table, clock, wall
         self.ledger = Ledger(settings.budgets, store.value_limit, 2 * params.time_bound_ms / 1000)
@@ -78,21 +76,14 @@
         self.plans = PlanBuilder(self.table, self.picture, scheduler, clock, wall)
         self._ledger_at = -1e9
         self.disruptions = DisruptionWatch(self.ledger, self.jobs, fleet, clock, wall)
-        if self.enabled:
-            fleet.cordoned, fleet.maintained = self.table.cordoned, self.table.maintained
-            scheduler.relocated = self.disruptions.moving
-            fleet.on_stop, fleet.on_loss = self.disruptions.told_to_stop, self.disruptions.lost
+        fleet.cordoned, fleet.maintained = self.table.cordoned, self.table.maintained
+        scheduler.relocated = self.disruptions.moving
+        fleet.on_stop, fleet.on_loss = self.disruptions.told_to_stop, self.disruptions.lost
 
     # -- what is known ---------------------------------------------------------------------------
 
-    def follows(self, key: str) -> bool:
-        """Whether a key is for this slice."""
-        return self.enabled and self.table.follows(key)
-
     def load(self, found: Sequence[tuple[str, object, int]]) -> None:
         """A new leadership begins with what is stored."""
-        if not self.enabled:
-            return
         self.table.read_all(found)
         self.table.read_ledger(found)
         self.homeless.clear()
@@ -279,20 +270,18 @@
         for name in {stored.record.drain for stored in self.table.steps.values()} - self.table.drains.keys():
             await self._roll_back(name)
 
-    async def run(self, valid: Callable[[], bool]) -> None:
-        """Look at drains while this node leads."""
-        while True:
-            await asyncio.sleep(LOOK_S)
-            if not self.enabled or not valid() or self.fleet.catalog is None:
-                continue
-            try:
-                await self.tick()
-            except Conflict as conflict:
-                log.info("drains: a key has changed: %s", ", ".join(conflict.failed))
-                await self._refresh_after(conflict)
-            except (Refused, Unknown) as error:
-                log.debug("drains: %s", error)
-                await asyncio.sleep(AFTER_TROUBLE_S)
+    async def look(self) -> None:
+        """One look at all drains; what fails is tried again with the next."""
+        if self.fleet.catalog is None:
+            return
+        try:
+            await self.tick()
+        except Conflict as conflict:
+            log.info("drains: a key has changed: %s", ", ".join(conflict.failed))
+            await self._refresh_after(conflict)
+        except (Refused, Unknown) as error:
+            log.debug("drains: %s", error)
+            await asyncio.sleep(AFTER_TROUBLE_S)
 
     async def _refresh_after(self, conflict: Conflict) -> None:
         try:
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -4,7 +4,7 @@
 import logging
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -13,7 +13,7 @@
 from hookwall.cancellations import Cancellations
 from hookwall.cloud_client import CloudClient
 from hookwall.confirmer import Confirmer
-from hookwall.drains.controller import DrainController
+from hookwall.drains.drain_slice import DrainSlice
 from hookwall.fleet import Fleet
 from hookwall.formats import FormatGate
 from hookwall.job import Active, Job
@@ -21,7 +21,7 @@
 from hookwall.jobs import JobTable
 from hookwall.keeper import Keeper
 from hookwall.leadership import Leadership
-from hookwall.operations import Operations
+from hookwall.operations import DrainSettings, Operations
 from hookwall.peers import Peer
 from hookwall.renting import Renting
 from hookwall.roles import Role
@@ -33,6 +33,9 @@
 from hookwall.watch import Watch
 from hookwall.wire import BadMessage, Catalog
 
+if TYPE_CHECKING:
+    from hookwall.drains.controller import DrainController
+
 log = logging.getLogger("hookwall.node")
 
 ROUND_EVERY_S = 0.5
@@ -92,11 +95,8 @@
         self.keeper.packs, self.keeper.numbers = self.formats.pipelines, self.formats.numbered
         self.writer.watched = lambda: self.watch.epoch
         self.scheduler.start_room = self.writer.start_room
-        self.drains = DrainController(
-            (operations or Operations()).drain, params, self.fleet, self.scheduler, self.store, self.leadership,
-            clock, wall,
-        )  # fmt: skip
-        self.drains.all_know, self.drains.is_gone = self.formats.drains, self.renting.is_gone
+        drain = (operations or Operations()).drain
+        self.drains = DrainSlice(drain.enabled, bool(drain.budgets), lambda: self._drain_controller(drain, wall))
         self.renting.relocations = self.drains.relocations
         self.api.current = self.cancellations.records_current
         self.leadership.about, self.leadership.on_about = self._about, self._on_about
@@ -115,6 +115,17 @@
         self.wake = asyncio.Event()
         self.fleet.wake = self.wake.set
 
+    def _drain_controller(self, settings: DrainSettings, wall: Callable[[], float]) -> "DrainController":
+        """Made when the first drain is seen."""
+        from hookwall.drains.controller import DrainController
+
+        params = self.settings.settings
+        controller = DrainController(
+            settings, params, self.fleet, self.scheduler, self.store, self.leadership, self.clock, wall
+        )  # fmt: skip
+        controller.all_know, controller.is_gone = self.formats.drains, self.renting.is_gone
+        return controller
+
     # -- the state service ---------------------------------------------------------------------
 
     async def _refresh(self, key: str) -> None:
@@ -146,7 +157,7 @@
         elif key.startswith(keys.FORMAT):
             self.formats.saw(key, value, stamp)
         elif self.drains.follows(key):
-            self.drains.table.take(key, value, stamp)
+            self.drains.take(key, value, stamp)
         elif key == keys.CATALOG and not self.leadership.valid():
             try:
                 self._set_catalog(wire.convert(value, Catalog))
@@ -160,7 +171,7 @@
         elif key.startswith(keys.PARTS):
             self.table.parts.remove(key, stamp)
         elif self.drains.follows(key):
-            self.drains.table.remove(key, stamp)
+            self.drains.remove(key, stamp)
         elif key.startswith(keys.KEEP):
             known = self.fleet.kept.keys.get(key)
             if known is not None and stamp > known[0]:
@@ -175,8 +186,7 @@
         sent = self.clock()
         found, epoch = await self.store.scan(keys.ROOT)
         self._keepers_missing(found)
-        if self.drains.enabled:
-            self.drains.table.read_all(found)
+        self.drains.read_all(found)
         if self.leadership.role is Role.LEADER:
             self.writer.any_lease_may_be_kept()  # changes were missed
         leader = False
@@ -227,7 +237,7 @@
         From here on the leader's writes have the newer keys as conditions, so what it decided on the older ones
         would be stored: a machine whose lease seemed to be over runs its tasks, and they were started elsewhere.
         """
-        if self.leadership.role is Role.LEADER and self.fleet.was_wrong(machines):
+        if self.leadership.role is Role.LEADER and self.fleet.leases.was_wrong(machines):
             log.info("a lease that seemed to be over is kept; decisions that are not stored are void")
             self.table.revert()
 
--- a/tests/test_drain_controller.py
+++ b/tests/test_drain_controller.py
@@ -58,11 +58,11 @@
         from hookwall.drains.controller import DrainController
 
         own = operations(grey=1)
-        node.drains = DrainController(
+        node.drains.controller = DrainController(
             own.drain, node.settings.settings, node.fleet, node.scheduler, self.state, node.leadership,
             self.clock, self.clock,
         )  # fmt: skip
-        node.drains.is_gone = node.renting.is_gone
+        node.drains.controller.is_gone = node.renting.is_gone
         node.fleet.set_catalog(_catalog())
 
     def asks(self, *machines: str, batch: int = 2, **terms) -> None:
@@ -74,11 +74,11 @@
         """Somebody writes a key, and this node's watch tells of it."""
         self.state.epoch += 1
         self.state.keys[key] = (value, self.state.epoch)
-        self.node.drains.table.take(key, value, self.state.epoch)
+        self.node.drains.controller.table.take(key, value, self.state.epoch)
 
     def tick(self, seconds: float = 1.0) -> None:
         self.clock.tick(seconds)
-        asyncio.run(self.node.drains.tick())
+        asyncio.run(self.node.drains.controller.tick())
 
     def stopping(self) -> set[str]:
         return {ref for ref, job in self.node.table.jobs.items() if any(a.stop_grace for a in job.active.values())}
@@ -88,7 +88,7 @@
         return None if stored is None else records.decode(stored[0], StepRecord)
 
     def used(self) -> int:
-        return self.node.drains.ledger.used("grey")
+        return self.node.drains.controller.ledger.used("grey")
 
 
 def _idle(number: int) -> bytes:
@@ -128,8 +128,8 @@
         leader.tick()
     assert leader.stopping() == {"run-000000"} and leader.used() == 1
     node = leader._node(params)
-    node.drains.load([(key, value, stamp) for key, (value, stamp) in state.keys.items()])
-    assert node.drains.ledger.used("grey") == 1 and node.fleet.cordoned == {FIRST, SECOND}
+    node.drains.controller.load([(key, value, stamp) for key, (value, stamp) in state.keys.items()])
+    assert node.drains.controller.ledger.used("grey") == 1 and node.fleet.cordoned == {FIRST, SECOND}
     leader.node = node
     for _ in range(5):
         leader.tick()
@@ -156,7 +156,7 @@
         leader.tick()
 
     def abort() -> None:
-        record = leader.node.drains.table.drains["kernel"].record
+        record = leader.node.drains.controller.table.drains["kernel"].record
         leader.state.epoch += 1
         leader.state.keys[DRAIN] = (records.encode(aborted(record, leader.clock())), leader.state.epoch)
 
@@ -164,10 +164,10 @@
     with pytest.raises(Conflict) as conflict:
         leader.tick()
     assert not leader.stopping()
-    asyncio.run(leader.node.drains.writes.refresh(conflict.value.failed))
+    asyncio.run(leader.node.drains.controller.writes.refresh(conflict.value.failed))
     leader.tick()
     assert leader.step(FIRST) is None and not leader.stopping() and not leader.node.fleet.cordoned
-    assert leader.node.drains.table.drains["kernel"].record.phase is DrainPhase.ABORTED
+    assert leader.node.drains.controller.table.drains["kernel"].record.phase is DrainPhase.ABORTED
 
 
 def test_a_step_that_somebody_else_has_changed_is_not_overwritten(leader):
@@ -210,7 +210,7 @@
     state.mode = "ok"
     with pytest.raises(Conflict) as conflict:
         leader.tick()
-    asyncio.run(leader.node.drains.writes.refresh(conflict.value.failed))
+    asyncio.run(leader.node.drains.controller.writes.refresh(conflict.value.failed))
     leader.tick()
     assert leader.stopping() == {"run-000000"} and leader.used() == 1
 
@@ -274,7 +274,7 @@
     leader.tick()
     leader.tick(6.0)
     assert leader.step(FIRST).drain == "other" and not leader.stopping()
-    assert leader.node.drains.table.drains["kernel"].record.reason == f"{FIRST} is being drained by other"
+    assert leader.node.drains.controller.table.drains["kernel"].record.reason == f"{FIRST} is being drained by other"
 
 
 def test_a_job_that_was_moved_leaves_its_room_to_nobody(leader):
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -66,7 +66,7 @@
         assert shared == machine_of(w, blue)
         w.workers.pop(machine_of(w, lost)).gone()
         await w.until(lambda: w.oracle.used("blue") == 1, 5.0, "no loss")
-        await w.until(lambda: w.leader().drains.ledger.used("blue") == 1, 60.0, "the loss was not counted")
+        await w.until(lambda: w.leader().drains.controller.ledger.used("blue") == 1, 60.0, "the loss was not counted")
         await operator.start("kernel", "--machine", shared)
         await operator.waits_for("kernel", "budget of team blue is spent", 20.0)
         assert shared in cordoned(w) and w.on_machines(red) == 1 and not w.oracle.by_drains
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -463,9 +463,9 @@
     cluster.scheduler.round()
     cluster.store()
     cluster.beat("vm-1", [("run-000001/0", 1, "running", None)])
-    cluster.clock.tick(cluster.fleet.lease_gone + 1.0)
+    cluster.clock.tick(cluster.fleet.leases.gone_s + 1.0)
     cluster.fleet.expire(cluster.clock())
     machine = cluster.fleet.machines["vm-1"]
-    assert cluster.fleet.lease_ended == {"vm-1"}
+    assert cluster.fleet.leases.ended == {"vm-1"}
     cluster.fleet.gone(machine, "deleted")
-    assert not cluster.fleet.was_wrong(frozenset({"vm-1"})) and not cluster.fleet.lease_ended
+    assert not cluster.fleet.leases.was_wrong(frozenset({"vm-1"})) and not cluster.fleet.leases.ended
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -231,7 +231,7 @@
     first, second = cluster.submit(2, **pair, bundle="img-9"), cluster.submit(3, **pair, bundle="img-8")
     cluster.scheduler.round()
     for name in ("vm-1", "vm-2"):
-        cluster.fleet._has_image(cluster.fleet.machines[name], cluster.fleet.images.of("img-8"), 10.0)
+        cluster.fleet.has_image(cluster.fleet.machines[name], cluster.fleet.images.of("img-8"), 10.0)
     for a in list(running.active.values()):
         cluster.fleet.drop(running, a, "halted")
     running.phase = "withdrawn"
--- a/tools/drain_measure.py
+++ b/tools/drain_measure.py
@@ -31,7 +31,7 @@
 from hookwall import machine_names  # noqa: E402
 from hookwall.drains import records, request  # noqa: E402
 from hookwall.drains.request import DrainRequest, Selection  # noqa: E402
-from hookwall.operations import Budget, DrainSettings, Operations  # noqa: E402
+from hookwall.operations import Budget, DrainSettings  # noqa: E402
 from hookwall.settings import Cloud, MachineLimits, Params, State  # noqa: E402
 
 RUN_S = 900.0
@@ -157,25 +157,22 @@
     params = fleet_params()
     clock = time.monotonic
     node = leading(params, clock, args.machines)
-    node.drains.enabled = True
     names = sorted(node.fleet.machines)
-    node.operations = Operations(DrainSettings(True, [Budget("grey", jobs=10)]))
-    node.drains.ledger.budgets = {"grey": Budget("grey", jobs=10)}
-    node.fleet.cordoned = node.drains.table.cordoned
+    drains = node._drain_controller(DrainSettings(True, [Budget("grey", jobs=10)]), time.time)
     result = {"machines": args.machines, "round_ms": timed(node.scheduler.round)}
     asked = DrainRequest(selection=Selection(share=1.0), batch=args.batch)
     record = request.new_record(asked, names, clock())
-    node.drains.table.put_drain("measured", record, 5)
+    drains.table.put_drain("measured", record, 5)
 
     def look() -> None:
-        node.drains.plans._search_at.clear()
-        node.drains.plans.build("measured")
+        drains.plans._search_at.clear()
+        drains.plans.build("measured")
 
     result["search_ms"] = timed(look)
     for name in names[: args.batch]:
         step = records.StepRecord(drain="measured", phase=records.StepPhase.CORDONED, since=0.0, changed_at=0.0)
-        node.drains.table.put_step(name, step, 6)
-    result["look_ms"] = timed(lambda: node.drains.plans.build("measured"))
+        drains.table.put_step(name, step, 6)
+    result["look_ms"] = timed(lambda: drains.plans.build("measured"))
     result["round_with_cordons_ms"] = timed(node.scheduler.round)
     result["record_bytes"] = len(json.dumps(records.encode(record)))
     result["sparse_record_bytes"] = len(json.dumps(machine_names.encode(names[::2])))
