Messages between nodes as types; a node's share of the state service in a module of its own

Messages were dicts whose short names stood in five modules.

Change: messages.py has PeerMessage, PeerAnswer, About and ToldCancellations, and the only place with their names on the wire; a field that can't be read counts as missing, as before, and goes on to be tested for each field.

--- a/hookwall/campaign.py
+++ b/hookwall/campaign.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hookwall import keys
+from hookwall.messages import Kind, PeerAnswer, PeerMessage
 from hookwall.peers import Peer
 from hookwall.roles import Mode, Role
 from hookwall.store import Conflict, Refused, Unknown
@@ -113,12 +114,12 @@
         its vote, and then for its promise, took over two seconds of each take-over from it.
         """
         lead = self.lead
-        message = {
-            "t": "vote", "n": lead.me, "sok": True, "replaces": replaces, "dead": dead, "campaign": self.number,
-        }  # fmt: skip
+        message = PeerMessage(
+            kind=Kind.VOTE, node=lead.me, state_ok=True, replaces=replaces, dead=dead, campaign=self.number
+        )  # fmt: skip
 
-        async def ask(peer: Peer) -> tuple[str, dict | None]:
-            answer = await peer.call(message, timeout=VOTE_WAIT_S)
+        async def ask(peer: Peer) -> tuple[str, PeerAnswer | None]:
+            answer = await lead.ask(peer, message, timeout=VOTE_WAIT_S)
             if answer is not None:
                 lead.note_answer(peer, answer)
             return peer.name, answer
@@ -128,16 +129,16 @@
         for next_answer in asyncio.as_completed([lead.later(ask(p)) for p in lead.peers]):
             name, answer = await next_answer
             heard = heard or answer is not None
-            if answer is not None and answer.get("ok"):
+            if answer is not None and answer.ok:
                 votes += 1
-                self._take_fence(name, answer.get("fence"))
+                self._take_fence(name, answer.fence)
             if votes >= lead.majority:
                 break
         return votes, heard
 
-    def _take_fence(self, voter: str, stamp: object) -> None:
+    def _take_fence(self, voter: str, stamp: int | None) -> None:
         """A voter names the stamp of its key; programs before format 3, and nodes that lack the service, don't."""
-        if isinstance(stamp, int) and stamp > 0:
+        if stamp is not None and stamp > 0:
             self.fences.append((keys.VOTER + voter, stamp))
 
     # -- the key -----------------------------------------------------------------------------------
@@ -181,9 +182,7 @@
         if stamp == self.unresolved:
             return
         lead.promise.not_replaced(lead.me, self.number)
-        message = {"t": "release", "n": lead.me, "unwritten": self.number}
-        for p in lead.peers:
-            lead.later(p.call(message))
+        lead.tell_all(PeerMessage(kind=Kind.RELEASE, node=lead.me, unwritten=self.number))
 
     def _lose(self) -> None:
         """The attempt has failed; the next one comes after a pause that differs from node to node."""
--- a/hookwall/cancellations.py
+++ b/hookwall/cancellations.py
@@ -27,6 +27,7 @@
 from hookwall import keys
 from hookwall.clocks import DRIFT
 from hookwall.leadership import Leadership
+from hookwall.messages import Kind, PeerMessage, ToldCancellations
 from hookwall.roles import Mode
 from hookwall.settings import Workers
 from hookwall.store import Conflict, Refused, Store, Unknown
@@ -100,26 +101,25 @@
 
     # -- messages between nodes --------------------------------------------------------------------
 
-    def say(self) -> dict:
+    def say(self) -> int | None:
         """What a leader adds to its pings: its position, if it is valid at this moment."""
         if not self.lead.valid():
-            return {}
+            return None
         position = self.position()
         self.settle(position)
-        return {"pos": position}
+        return position
 
-    def reply(self, ping: dict) -> dict:
-        """What a node adds to its promise: all that the leader has not shown to know."""
-        position = ping.get("pos")
-        if isinstance(position, int):
+    def reply(self, position: int | None) -> ToldCancellations:
+        """What a node adds to its promise: all that the leader, by its position, has not shown to know."""
+        if position is not None:
             self.settle(position)
         jobs = list(self.unsettled.items())
-        return {"cancelled": jobs[:MOST_TOLD], "complete": self.complete and len(jobs) <= MOST_TOLD}
+        return ToldCancellations(jobs[:MOST_TOLD], self.complete and len(jobs) <= MOST_TOLD)
 
-    def on_reply(self, peer: str, sent: float, answer: dict) -> None:
+    def on_reply(self, peer: str, sent: float, told: ToldCancellations) -> None:
         """A peer has promised; what it told counts only once it is applied here."""
-        self.take(answer.get("cancelled"))
-        if answer.get("complete") is True:
+        self.take(told.jobs)
+        if told.complete:
             self.told[peer] = max(sent, self.told.get(peer, -1e9))
 
     def take(self, jobs: object) -> None:
@@ -130,10 +130,10 @@
                 if isinstance(ref, str) and isinstance(stamp, int):
                     self.withdraw(ref, stamp)
 
-    def on_told(self, message: dict) -> dict:
-        """A peer asks for its user's sake whether this node knows, and whether it leads."""
-        self.take(message.get("jobs"))
-        return {"knows": True, "leads": self.lead.valid()}
+    def on_told(self, jobs: object) -> bool:
+        """A peer tells of cancellations for its user's sake. Returns whether this node, which knows them now, leads."""
+        self.take(jobs)
+        return self.lead.valid()
 
     # -- before a user is told ---------------------------------------------------------------------
 
@@ -166,13 +166,13 @@
 
     async def _tell(self, ref: str, stamp: int) -> bool:
         """Tell all peers; enough are one that leads validly, or a majority with this node."""
-        message = {"t": "cancelled", "n": self.lead.me, "jobs": [[ref, stamp]]}
+        message = PeerMessage(kind=Kind.CANCELLED, node=self.lead.me, jobs=[[ref, stamp]])
         know = 1
-        for next_answer in asyncio.as_completed(self.lead.call_all(message, SPREAD_S)):
+        for next_answer in asyncio.as_completed(self.lead.ask_all(message, SPREAD_S)):
             answer = await next_answer
-            if answer is None or not answer.get("knows"):
+            if answer is None or not answer.knows:
                 continue
             know += 1
-            if answer.get("leads") or know >= self.lead.majority:
+            if answer.leads or know >= self.lead.majority:
                 return True
         return False
--- a/hookwall/handover.py
+++ b/hookwall/handover.py
@@ -4,6 +4,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from hookwall.messages import Kind, PeerMessage
 from hookwall.promise import PROMISE_S
 from hookwall.roles import Mode
 from hookwall.store import Refused, Unknown
@@ -67,9 +68,7 @@
         lead = self.lead
         lead.step_down(f"resigns: {why}")
         lead.next_try = lead.clock() + RESIGNED_S
-        message = {"t": "release", "n": lead.me, "tok": lead.token, "resign": to}
-        for p in lead.peers:
-            lead.later(p.call(message))
+        lead.tell_all(PeerMessage(kind=Kind.RELEASE, node=lead.me, token=lead.token, resign=to))
 
     async def _fit(self, names: list[str]) -> list[str]:
         """Those of the peers whom the state service answers at this moment: they are made to ask it.
@@ -79,11 +78,11 @@
         """
         peers = [p for p in self.lead.peers if p.name in names]
         fit: list[str] = []
-        message = {"t": "fit", "n": self.lead.me}
+        message = PeerMessage(kind=Kind.FIT, node=self.lead.me)
         for _ in range(2):  # the first makes them ask, the second tells what came of it
-            answers = await asyncio.gather(*(p.call(message, timeout=FIT_WAIT_S) for p in peers))
-            ages = {p.name: a.get("age") for p, a in zip(peers, answers, strict=True) if a is not None}
-            fit = [n for n, age in ages.items() if isinstance(age, float | int) and age < FIT_S]
+            answers = await asyncio.gather(*(self.lead.ask(peer, message, FIT_WAIT_S) for peer in peers))
+            ages = {peer.name: answer.age for peer, answer in zip(peers, answers, strict=True) if answer is not None}
+            fit = [name for name, age in ages.items() if age is not None and age < FIT_S]
             if fit or not peers:
                 break
             await asyncio.sleep(ASK_AGAIN_S)
--- a/hookwall/job_writer.py
+++ b/hookwall/job_writer.py
@@ -119,7 +119,7 @@
         Each takes a change, a place among the record's names, and one among the conditions of the transaction
         that writes the record, beside the leader's, the keepers' and the record's own.
         """
-        by_pace = int(PARTS_S * self.store.writes.rate)
+        by_pace = int(PARTS_S * self.store.pace.changes.rate)
         by_names = self.store.value_limit // PART_NAME_BYTES
         by_conditions = self.store.txn_ops * CONDITIONS_PER_CHANGE - len(self.keep_keys) - 2
         return max(LEAST_PARTS, min(by_pace, by_names, by_conditions))
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -21,11 +21,12 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-from hookwall import keys
+from hookwall import keys, messages
 from hookwall.campaign import Campaign, hold_s
 from hookwall.clocks import DRIFT, SLACK_S
 from hookwall.handover import Handover
 from hookwall.leader_key import LeaderKey
+from hookwall.messages import About, Kind, PeerAnswer, PeerMessage, ToldCancellations
 from hookwall.peers import Peer
 from hookwall.promise import PROMISE_S, Promise
 from hookwall.roles import Mode, Role
@@ -76,14 +77,15 @@
         self.want: Callable[[], object] = lambda: None  # what this node wants of the state service
         self.lend: Callable[[str, object], object] = lambda peer, want: None  # what this leader lends of its share
         self.on_lent: Callable[[object], None] = lambda _: None
-        # Beside promises (cancellations.py): what a leader says, what a supporter answers, what that tells.
-        self.say: Callable[[], dict] = dict
-        self.reply: Callable[[dict], dict] = lambda ping: {}
-        self.on_reply: Callable[[str, float, dict], None] = lambda peer, sent, answer: None
-        self.on_told: Callable[[dict], dict] = lambda message: {}
+        # Beside promises (cancellations.py): the position that a leader says it has read, what a supporter tells
+        # with its promise, what that tells the leader, and cancellations told for a user's sake.
+        self.say: Callable[[], int | None] = lambda: None
+        self.reply: Callable[[int | None], ToldCancellations] = lambda position: ToldCancellations((), False)
+        self.on_reply: Callable[[str, float, ToldCancellations], None] = lambda peer, sent, told: None
+        self.on_told: Callable[[object], bool] = lambda jobs: False
         # What a node says of itself in every message, and what that tells.
-        self.about: Callable[[], dict] = dict
-        self.on_about: Callable[[str, dict], None] = lambda node, message: None
+        self.about: Callable[[], About] = About
+        self.on_about: Callable[[str, About], None] = lambda node, about: None
         self.peer_want: dict[str, tuple[float, object]] = {}
         self.on_lapse: Callable[[], None] = lambda: None  # its validity has ended for a while
         self.hint: Callable[[], object] = lambda: None
@@ -200,110 +202,121 @@
 
     # -- messages ----------------------------------------------------------------------------
 
-    def handle(self, m: dict) -> dict:
+    def handle(self, raw: dict[str, Any]) -> dict[str, Any]:
         """Answer a peer."""
-        kind, node = m.get("t"), m.get("n")
-        if not isinstance(node, str) or node == self.me:
-            return {"ok": False}
-        if m.get("sok"):
-            self.peer_state_ok[node] = self.clock()
-        elif "sok" in m:
-            self.peer_state_ok.pop(node, None)
-        self.on_about(node, m)
+        message = messages.decode_message(raw)
+        if message is None or message.node == self.me:
+            return messages.encode(PeerAnswer())
+        if message.state_ok:
+            self.peer_state_ok[message.node] = self.clock()
+        elif message.state_ok is not None:
+            self.peer_state_ok.pop(message.node, None)
+        self.on_about(message.node, message.about())
         answers = {
-            "ping": self._on_ping, "vote": self._on_vote, "release": self._on_release, "fit": self._on_fit,
-            "cancelled": self._on_cancelled,
+            Kind.PING: self._on_ping, Kind.VOTE: self._on_vote, Kind.RELEASE: self._on_release, Kind.FIT: self._on_fit,
+            Kind.CANCELLED: self._on_cancelled,
         }  # fmt: skip
-        answer = answers[kind](node, m) if isinstance(kind, str) and kind in answers else {"ok": False}
-        beats = self.beats_seen if self.clock() - self.last_beat < 3.0 else 0
-        return {
-            "sok": self.store.fresh(), "top": self.promise.token, "beats": beats, "want": self.want(), **self.about(),
-            **answer,
-        }  # fmt: skip
-
-    def _on_ping(self, node: str, m: dict) -> dict:
+        answer = answers[message.kind](message)
+        answer.state_ok, answer.top = self.store.fresh(), self.promise.token
+        answer.beats = self.beats_seen if self.clock() - self.last_beat < 3.0 else 0
+        answer.want = self.want()
+        about = self.about()
+        answer.format, answer.lowered = about.format, about.lowered
+        return messages.encode(answer)
+
+    def _on_ping(self, message: PeerMessage) -> PeerAnswer:
         """A leader asks for support; a follower says that it is there."""
-        token = m.get("tok")
-        if not isinstance(token, int) or token <= 0:
-            return {"ok": False}
-        if not self.may_support() or not self.promise.renew(node, token):
-            return {"ok": False, "replaced": self.promise.replaced(token)}
+        token = message.token or 0
+        if token <= 0:
+            return PeerAnswer()
+        if not self.may_support() or not self.promise.renew(message.node, token):
+            return PeerAnswer(replaced=self.promise.replaced(token))
         self.leader_heard = self.clock()
-        if m.get("hint") is not None:
-            self.on_hint(m["hint"])
+        if message.hint is not None:
+            self.on_hint(message.hint)
         if self.role is Role.FOLLOWER:
-            self.on_lent(m.get("lent"))
-        more = self.reply(m)
+            self.on_lent(message.lent)
+        told = self.reply(message.position)
         if token > self.token and self.role.leads():
             self.step_down("a peer leads with a newer token")
-        return {"ok": True, **more}
+        return PeerAnswer(ok=True, cancelled=told.jobs, complete=told.complete)
 
-    def _on_vote(self, node: str, m: dict) -> dict:
+    def _on_vote(self, message: PeerMessage) -> PeerAnswer:
         """A candidate asks for support."""
-        replaces, campaign = m.get("replaces"), m.get("campaign")
-        stamp = replaces if isinstance(replaces, int) else 0
-        number = campaign if isinstance(campaign, int) else 0
         if self.role.leads() or not self.may_support():
-            return {"ok": False}
-        voted = self.promise.vote(node, stamp, m.get("dead") is not False, number)
-        return {"ok": voted, "fence": self.fence.stamp if self.fence is not None else 0}
+            return PeerAnswer()
+        dead = message.dead is not False
+        voted = self.promise.vote(message.node, message.replaces or 0, dead, message.campaign or 0)
+        return PeerAnswer(ok=voted, fence=self.fence.stamp if self.fence is not None else 0)
 
-    def _on_release(self, node: str, m: dict) -> dict:
+    def _on_release(self, message: PeerMessage) -> PeerAnswer:
         """A leader gives support back, and may name who is to lead next."""
-        token = m.get("tok")
-        if isinstance(token, int):
-            self.promise.release(node, token)
-        unwritten = m.get("unwritten")
-        if isinstance(unwritten, int):
-            self.promise.not_replaced(node, unwritten)
-        if m.get("resign") == self.me:
+        if message.token is not None:
+            self.promise.release(message.node, message.token)
+        if message.unwritten is not None:
+            self.promise.not_replaced(message.node, message.unwritten)
+        if message.resign == self.me:
             self.next_try = 0.0
-        return {"ok": True}
+        return PeerAnswer(ok=True)
 
-    def _on_fit(self, node: str, m: dict) -> dict:
+    def _on_fit(self, message: PeerMessage) -> PeerAnswer:
         """A leader asks whether the state service answers this node; it is asked at once."""
         self.probe_now.set()
-        return {"ok": False, "age": self.clock() - self.store.last_ok if self.store.healthy() else None}
+        return PeerAnswer(age=self.clock() - self.store.last_ok if self.store.healthy() else None)
 
-    def _on_cancelled(self, node: str, m: dict) -> dict:
+    def _on_cancelled(self, message: PeerMessage) -> PeerAnswer:
         """A node tells of cancellations for its user's sake."""
-        return {"ok": True, **self.on_told(m)}
+        return PeerAnswer(ok=True, knows=True, leads=self.on_told(message.jobs))
 
-    def note_answer(self, peer: Peer, answer: dict) -> None:
+    def note_answer(self, peer: Peer, answer: PeerAnswer) -> None:
+        """What any answer of a peer tells."""
         self.peer_heard[peer.name] = self.clock()
-        self.on_about(peer.name, answer)
-        if answer.get("sok"):
+        self.on_about(peer.name, answer.about())
+        if answer.state_ok:
             self.peer_state_ok[peer.name] = self.clock()
         else:
             self.peer_state_ok.pop(peer.name, None)
-        self.peer_want[peer.name] = (self.clock(), answer.get("want"))
-        if isinstance(answer.get("beats"), int):
-            self.peer_beats[peer.name] = (self.clock(), answer["beats"])
+        self.peer_want[peer.name] = (self.clock(), answer.want)
+        if answer.beats is not None:
+            self.peer_beats[peer.name] = (self.clock(), answer.beats)
+
+    async def ask(self, peer: Peer, message: PeerMessage, timeout: float = 1.0) -> PeerAnswer | None:
+        """A peer's answer, or None."""
+        raw = await peer.call(messages.encode(message), timeout=timeout)
+        return None if raw is None else messages.decode_answer(raw)
+
+    def tell_all(self, message: PeerMessage) -> None:
+        """Send a message to all peers, whatever they answer."""
+        for peer in self.peers:
+            self.later(self.ask(peer, message))
 
     async def ping(self, peer: Peer, hint: object = None) -> None:
         leading = self.role.leads()
         token = self.token if leading else 0
         sent = self.clock()
-        message = {"t": "ping", "n": self.me, "tok": token, "sok": self.store.fresh(), **self.about()}
-        if leading and hint is not None:
-            message["hint"] = hint
+        about = self.about()
+        message = PeerMessage(
+            kind=Kind.PING, node=self.me, token=token, state_ok=self.store.fresh(), format=about.format,
+            lowered=about.lowered,
+        )  # fmt: skip
         if leading:
+            message.hint = hint
             at, want = self.peer_want.get(peer.name, (-1e9, None))
-            message["lent"] = self.lend(peer.name, want if sent - at < 2.0 * PING_S else None)
-            message.update(self.say())
-        answer = await peer.call(message, timeout=1.5)
+            message.lent = self.lend(peer.name, want if sent - at < 2.0 * PING_S else None)
+            message.position = self.say()
+        answer = await self.ask(peer, message, timeout=1.5)
         if answer is None:
             return
         self.note_answer(peer, answer)
         if token and token == self.token and self.role.leads():
-            if answer.get("ok"):
+            if answer.ok:
                 # What the promise carries is applied before it counts.
-                self.on_reply(peer.name, sent, answer)
+                self.on_reply(peer.name, sent, ToldCancellations(answer.cancelled, answer.complete is True))
                 self._note_lapse()
                 self.acks[peer.name] = max(sent, self.acks.get(peer.name, -1e9))
-            elif isinstance(answer.get("top"), int) and answer["top"] > token:
+            elif answer.top is not None and answer.top > token:
                 self.step_down(f"{peer.name} knows a newer token")
-            elif answer.get("replaced") is True:
+            elif answer.replaced is True:
                 # It never supports this token again, so a new one is needed, if the key was not replaced after all.
                 self.step_down(f"{peer.name} has voted to replace this key")
                 self.next_try = self.clock()
@@ -353,9 +366,9 @@
         task.add_done_callback(self.beside.discard)
         return task
 
-    def call_all(self, message: dict, timeout: float) -> list[asyncio.Task]:
+    def ask_all(self, message: PeerMessage, timeout: float) -> list[asyncio.Task[PeerAnswer | None]]:
         """Send a message to all peers; their answers as they come, None for none."""
-        return [self.later(p.call(message, timeout=timeout)) for p in self.peers]
+        return [self.later(self.ask(peer, message, timeout)) for peer in self.peers]
 
     async def _renew_hold(self, now: float) -> None:
         """Renew the hold in time for the mode."""
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -21,6 +21,7 @@
 from hookwall.jobs import JobTable
 from hookwall.keeper import Keeper
 from hookwall.leadership import Leadership
+from hookwall.messages import About
 from hookwall.operations import DrainSettings, Operations
 from hookwall.peers import Peer
 from hookwall.renting import Renting
@@ -100,8 +101,8 @@
         self.renting.relocations = self.drains.relocations
         self.api.current = self.cancellations.records_current
         self.leadership.about, self.leadership.on_about = self._about, self._on_about
-        self.leadership.want, self.leadership.lend = self.store.want.now, self.store.lend
-        self.leadership.on_lent = self.store.borrow
+        self.leadership.want, self.leadership.lend = self.store.pace.want.now, self.store.pace.lend
+        self.leadership.on_lent = self.store.pace.borrow
         self.leadership.say, self.leadership.reply = self.cancellations.say, self.cancellations.reply
         self.leadership.on_reply, self.leadership.on_told = self.cancellations.on_reply, self.cancellations.on_told
         self.leadership.on_lapse = self.fleet.begin_again
@@ -135,15 +136,15 @@
         """Decisions were stored: starts can be launched, and others may be ready."""
         self.wake.set()
 
-    def _about(self) -> dict:
+    def _about(self) -> About:
         """What this node says of itself in each message to its peers."""
-        return {"format": self.formats.current, "lowered": self.store.lowered_seen()}
+        return About(self.formats.current, self.store.pace.lowered_seen())
 
-    def _on_about(self, node: str, message: dict) -> None:
+    def _on_about(self, node: str, about: About) -> None:
         """What a peer says of itself; older programs say nothing."""
-        self.formats.heard(node, message.get("format"))
-        if message.get("lowered") is True:
-            self.store.lower(f"{node} says so")
+        self.formats.heard(node, about.format)
+        if about.lowered:
+            self.store.pace.lower(f"{node} says so")
 
     def _take_key(self, key: str, value: Any, stamp: int) -> None:
         if key.startswith(keys.JOBS):
@@ -263,7 +264,7 @@
     # -- leading -------------------------------------------------------------------------------
 
     def _role(self, role: Role) -> None:
-        self.store.lead(role.leads())
+        self.store.pace.lead(role.leads())
         self.wake.set()
 
     async def beat(self, body: bytes) -> BeatAnswer:
--- a/hookwall/operations.py
+++ b/hookwall/operations.py
@@ -5,12 +5,10 @@
 """
 
 import math
-import tomllib
-from pathlib import Path
 
 import msgspec
 
-from hookwall.settings import BadSettings, Params
+from hookwall.settings import BadSettings, Params, read_toml
 
 DEFAULT_PERIOD_S = 300.0
 
@@ -71,12 +69,7 @@
     """Read and check the operators' file; everything is off without one."""
     if path is None:
         return Operations()
-    try:
-        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as error:
-        raise BadSettings(f"--operations: cannot read {path}: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise BadSettings(f"--operations: {path} is not TOML: {error}") from None
+    raw = read_toml(path, "--operations")
     try:
         return check(msgspec.convert(raw, Operations), params)
     except msgspec.ValidationError as error:
--- a/hookwall/settings.py
+++ b/hookwall/settings.py
@@ -7,6 +7,7 @@
 import math
 import tomllib
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -160,14 +161,19 @@
     return s
 
 
-def load(path: str) -> Settings:
-    """Read and check the settings file."""
+def read_toml(path: str, option: str) -> dict[str, Any]:
+    """A settings file that a command-line option names, not checked yet."""
     try:
-        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        return tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as e:
-        raise BadSettings(f"--config: cannot read {path}: {e.strerror}") from None
+        raise BadSettings(f"{option}: cannot read {path}: {e.strerror}") from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
-        raise BadSettings(f"--config: {path} is not TOML: {e}") from None
+        raise BadSettings(f"{option}: {path} is not TOML: {e}") from None
+
+
+def load(path: str) -> Settings:
+    """Read and check the settings file."""
+    raw = read_toml(path, "--config")
     try:
         return check(msgspec.convert(raw, Settings, strict=False))
     except msgspec.ValidationError as e:
--- a/hookwall/store.py
+++ b/hookwall/store.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import logging
-import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -16,19 +15,15 @@
 
 from hookwall import keys
 from hookwall.client import NoAnswer, call, open_session
-from hookwall.pacing import Bucket, Want
 from hookwall.records import value_limit
+from hookwall.service_pace import ServicePace
 from hookwall.settings import State
 
 log = logging.getLogger("hookwall.store")
 
 CONDITIONS_PER_CHANGE = 4  # a transaction may have so many conditions for each change that it may make
 NO_SUCH_LEASE = "no such lease"
-MOST_WAIT_S = 1.0
 FRESH_S = 1.5
-LEADS = (0.66, 0.76)  # a leader's share of requests and of changes; followers store new jobs and cancellations only
-KEEPS = 0.4  # of the limits, a leader never lends
-LENT_S = 2.5  # how long a follower may use what it was lent
 
 
 class Refused(Exception):
@@ -72,117 +67,27 @@
         self.limits = limits
         # What is written fits the limits of now and those that come without notice.
         self.txn_ops, self.value_limit = limits.least_txn_ops(), value_limit(limits.least_value_kb())
-        self.lowered = limits.next is None  # whether the limits to come are in force, as far as this node has seen
         self.clock = clock
         self.session: aiohttp.ClientSession | None = None
         self.call = call  # tests put a stand-in here
         self.last_ok = -1e9
         self.bad_since: float | None = None
-        self.nodes = nodes
-        self.requests = Bucket(limits.rps * 0.25, limits.rps * 0.25, clock)
-        self.writes = Bucket(limits.write_rps * 0.25, limits.write_rps * 0.25, clock)
-        self.want = Want(clock)
-        self.leading = False
-        self.lent: dict[str, tuple[tuple[float, float], float]] = {}
-        self.borrowed, self.borrowed_until = (0.0, 0.0), -1e9
-        self.lead(False)
+        self.pace = ServicePace(limits, nodes, clock)
 
     async def open(self) -> None:
         self.session = open_session(64)
 
-    # -- shares of the service's limits --------------------------------------------------------
-
-    def lead(self, leading: bool) -> None:
-        """Take a leader's or a follower's share of the service's limits; nothing is lent or borrowed yet."""
-        self.leading = leading
-        self.lent.clear()
-        self.borrowed, self.borrowed_until = (0.0, 0.0), -1e9
-        self._pace()
-
-    def _pace(self) -> None:
-        """Set the pace to this node's share, with what it has lent or borrowed."""
-        for i, (bucket, limit) in enumerate(self._buckets()):
-            if self.nodes <= 1:
-                rate = limit * 0.95
-            elif self.leading:
-                rate = limit * LEADS[i] - self._lent_out(i)
-            else:
-                rate = self._follower(i, limit) + self.borrowed[i]
-            bucket.set_share(rate, max(2.0, rate * 0.7))
-
-    def _follower(self, i: int, limit: float) -> float:
-        """A follower's own share of a limit."""
-        return limit * (0.96 - LEADS[i]) / (self.nodes - 1)
-
-    def _lent_out(self, i: int) -> float:
-        """What this leader has lent of a limit."""
-        return sum(lent[i] for lent, _ in self.lent.values())
-
-    def _buckets(self) -> tuple[tuple[Bucket, float], tuple[Bucket, float]]:
-        rates = self.limits.rates(self.lowered)
-        return (self.requests, rates[0]), (self.writes, rates[1])
-
-    def lowered_seen(self) -> bool:
-        """Whether limits to come have been seen to be in force."""
-        return self.lowered and self.limits.next is not None
-
-    def lower(self, why: str) -> None:
-        """The limits to come are in force: keep to their pace from now on."""
-        if self.lowered:
-            return
-        log.info("state service: lower limits are in force (%s)", why)
-        self.lowered = True
-        self._pace()
-        for bucket, _ in self._buckets():
-            bucket.level = min(bucket.level, 0.0)  # what was sent just now has used up this second
-
-    def lend(self, peer: str, want: object) -> list[float]:
-        """What a follower may make beyond its own share, by what it said it wants. The leader makes so much less.
-
-        Users come to the healthy nodes, whoever leads. When two of three nodes had crashed, all came to
-        one follower, and with its tenth of the changes new jobs were accepted 20 s late.
-        """
-        now = self.clock()
-        self.lent = {p: (lent, until) for p, (lent, until) in self.lent.items() if until > now and p != peer}
-        out = [0.0, 0.0]
-        if self.leading and self.nodes > 1 and isinstance(want, list) and len(want) == 2:
-            for i, (_, limit) in enumerate(self._buckets()):
-                if isinstance(want[i], float | int) and math.isfinite(want[i]):
-                    left = limit * (LEADS[i] - KEEPS) - self._lent_out(i)
-                    out[i] = max(0.0, min(1.3 * want[i] - self._follower(i, limit), left))
-        if any(out):
-            self.lent[peer] = ((out[0], out[1]), now + LENT_S)
-        self._pace()
-        return out
-
-    def borrow(self, lent: object) -> None:
-        """The leader lends some of its share, for a short while."""
-        if isinstance(lent, list) and len(lent) == 2 and all(isinstance(n, float | int) and n >= 0 for n in lent):
-            self.borrowed = (float(lent[0]), float(lent[1]))
-            self.borrowed_until = self.clock() + LENT_S
-            self._pace()
-
-    def _take_back(self) -> None:
-        """End what was lent or borrowed for a while that is over."""
-        now = self.clock()
-        if any(self.borrowed) and now >= self.borrowed_until:
-            self.borrowed = (0.0, 0.0)
-            self._pace()
-        if self.lent and all(until <= now for _, until in self.lent.values()):
-            self.lent.clear()
-            self._pace()
-
     def plain_limit(self) -> int:
         """How large a value may be while older programs, which don't know of the limits to come, read it."""
-        return self.value_limit if self.lowered else value_limit(self.limits.value_kb)
+        return self.value_limit if self.pace.lowered else value_limit(self.limits.value_kb)
 
     def batch(self) -> int:
         """How many keys to put into one write: what the pace lets through in half a second."""
-        return max(1, min(self.txn_ops, int(self.writes.rate * 0.5)))
+        return max(1, min(self.txn_ops, int(self.pace.changes.rate * 0.5)))
 
     def spare(self) -> bool:
         """Whether changes are left over for what is not pressing."""
-        return self.writes.level_now() > 0.5 * self.writes.burst
+        return self.pace.changes.level_now() > 0.5 * self.pace.changes.burst
 
     def fresh(self) -> bool:
         """Whether the service has answered this node within the last moments."""
@@ -206,17 +111,11 @@
     async def _send(
         self, method: str, path: str, body: object = None, timeout: float = 1.5, cost: float = 0.0
     ) -> tuple[int, dict]:
-        self.want.add(1.0, cost)
-        self._take_back()
-        wait = self.writes.delay(cost, MOST_WAIT_S) if cost else 0.0
+        wait = self.pace.delay(cost)
         if wait is None:
             raise Refused("own budget is used up")
-        more = self.requests.delay(1.0, MOST_WAIT_S)
-        if more is None:
-            self.writes.level += cost if cost else 0.0  # not sent after all
-            raise Refused("own budget is used up")
-        if max(wait, more) > 0:
-            await asyncio.sleep(max(wait, more))
+        if wait > 0:
+            await asyncio.sleep(wait)
         try:
             status, raw = await self.call(self.session, method, self.base + path, body, timeout)
         except NoAnswer as e:
@@ -226,7 +125,7 @@
             self._bad("503")
             raise Refused("503")
         if status == 429:
-            self.lower("429")
+            self.pace.lower("429")
             raise Refused("429")
         try:
             value = msgspec.json.decode(raw) if raw else {}
@@ -292,7 +191,7 @@
             failed = [k for k in got.get("failed", []) if isinstance(k, str)]
             raise Conflict(failed, epoch if isinstance(epoch, int) else 0)
         if status == 400 and got.get("error") != NO_SUCH_LEASE:
-            self.lower("400")
+            self.pace.lower("400")
             raise TooLarge(str(got.get("error", "400")))
         if status != 200 or not isinstance(got.get("epoch"), int):
             raise Unknown(f"commit: status {status} {got.get('error', '')}")
--- a/tests/production.py
+++ b/tests/production.py
@@ -14,6 +14,7 @@
 
 from hookwall import keys
 from hookwall.formats import Format, FormatGate
+from hookwall.messages import About
 from hookwall.node import Node
 
 SPEC_FIELDS = {
@@ -62,7 +63,7 @@
         limits = msgspec.structs.replace(limits, state=msgspec.structs.replace(limits.state, next=None))
         super().__init__(msgspec.structs.replace(settings, settings=limits), clock, wall)
         self.broken = broken
-        self.leadership.about, self.leadership.on_about = dict, lambda node, message: None
+        self.leadership.about, self.leadership.on_about = About, lambda node, about: None
         self.leadership.fence = None
         self.formats.heard_of.clear()
         self.writer.new_formats = self.api.new_formats = lambda: False
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -8,6 +8,7 @@
 from hookwall import keys
 from hookwall.cancellations import Cancellations
 from hookwall.leadership import Leadership
+from hookwall.messages import ToldCancellations
 from hookwall.promise import PROMISE_S
 from hookwall.roles import Mode, Role
 
@@ -75,9 +76,9 @@
 def test_a_majority_of_complete_promises_keeps_a_leader_current_without_the_service(node, clock):
     leads(node, clock)
     node.read(clock() - 100.0)
-    node.on_reply("n1", clock(), {"cancelled": [], "complete": False})
+    node.on_reply("n1", clock(), ToldCancellations([], False))
     assert not node.may_renew(), "a peer that has not read the records may have forgotten"
-    node.on_reply("n1", clock(), {"cancelled": [["run-000001", 33]], "complete": True})
+    node.on_reply("n1", clock(), ToldCancellations([["run-000001", 33]], True))
     assert node.may_renew() and node.withdrawn == {"run-000001": 33}
     # Only for a leader with promises: under one in hold mode users are told without its peers.
     node.lead.mode = Mode.HOLD
@@ -90,12 +91,12 @@
     node.complete = True
     node.learn("run-000001", 33)
     node.learn("run-000002", 35)
-    assert node.reply({}) == {"cancelled": [("run-000001", 33), ("run-000002", 35)], "complete": True}
-    assert node.reply({"pos": 33})["cancelled"] == [("run-000002", 35)]
+    assert node.reply(None) == ToldCancellations([("run-000001", 33), ("run-000002", 35)], True)
+    assert node.reply(33).jobs == [("run-000002", 35)]
     # A late copy with an older position brings nothing back, and takes nothing away.
-    assert node.reply({"pos": 30})["cancelled"] == [("run-000002", 35)]
+    assert node.reply(30).jobs == [("run-000002", 35)]
     node.learn("run-000001", 33)
-    assert node.reply({})["cancelled"] == [("run-000002", 35)]
+    assert node.reply(None).jobs == [("run-000002", 35)]
 
 
 def test_more_than_a_message_holds_is_not_complete(node, monkeypatch):
@@ -103,15 +104,15 @@
     node.complete = True
     for n in range(3):
         node.learn(f"run-{n}", 30 + n)
-    assert node.reply({})["complete"] is False
+    assert node.reply(None).complete is False
 
 
 def test_a_leader_says_its_position_only_while_it_is_valid(node, clock):
-    assert node.say() == {}
+    assert node.say() is None
     leads(node, clock)
-    assert node.say() == {"pos": 50}
+    assert node.say() == 50
     clock.tick(PROMISE_S)
-    assert node.say() == {}
+    assert node.say() is None
 
 
 @pytest.mark.parametrize(
@@ -130,7 +131,7 @@
 
 
 def test_what_an_earlier_leader_read_needs_no_telling(node, peers):
-    node.reply({"pos": 19})
+    node.reply(19)
     assert asyncio.run(node.confirmed("run-000001", 19)) is True and peers.heard == []
     # A newer leader key proves nothing: it may name a candidate that gave up, written late.
     node.lead.saw_key({"node": "n2"}, 30)
@@ -148,4 +149,4 @@
 
 @pytest.mark.parametrize("jobs", [None, 3, [[1, 2]], [["run-000001"]], ["run-000001", 33]])
 def test_nonsense_from_a_peer_is_survived(node, jobs):
-    assert node.on_told({"jobs": jobs})["knows"] and node.withdrawn == {}
+    assert node.on_told(jobs) is False and node.withdrawn == {}
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -13,6 +13,7 @@
 from hookwall.jobs import JobTable
 from hookwall.kept import Kept, _machines
 from hookwall.leadership import Leadership
+from hookwall.messages import About, ToldCancellations, decode_answer
 from hookwall.roles import Mode
 
 SAMPLES = Path(__file__).parent / "golden"
@@ -86,9 +87,10 @@
 def test_messages_of_production_are_answered_in_a_way_that_it_reads(kind, clock, state):
     state.last_ok = clock()
     lead = Leadership("n1", 3, [], state, clock, None, lambda role: None)
-    lead.about = lambda: {"format": 2, "lowered": False}
-    lead.on_told = lambda message: {"knows": True, "leads": False}
-    lead.reply = lambda ping: {"cancelled": [("run-000003", 12)], "complete": True}
+    lead.about = lambda: About(2, False)
+    lead.want = lambda: [1.0, 1.0]
+    lead.on_told = lambda jobs: False
+    lead.reply = lambda position: ToldCancellations([("run-000003", 12)], True)
     clock.tick(6.0)
     answer = lead.handle(GOLDEN["messages"][kind])
     golden = GOLDEN["answers"][kind]
@@ -100,15 +102,15 @@
 
 def test_answers_of_production_are_taken(clock, state):
     lead = Leadership("n0", 3, [], state, clock, None, lambda role: None)
-    told: list[dict] = []
-    lead.on_about = lambda node, message: told.append(message)
+    told: list[About] = []
+    lead.on_about = lambda node, about: told.append(about)
 
     class Peer:
         name = "n1"
 
     for answer in GOLDEN["answers"].values():
-        lead.note_answer(Peer, answer)
-    assert lead.peer_want["n1"][1] == [2.0, 0.5] and all("format" not in m for m in told)
+        lead.note_answer(Peer, decode_answer(answer))
+    assert lead.peer_want["n1"][1] == [2.0, 0.5] and told and all(about == About() for about in told)
 
 
 def test_a_keepers_key_names_machines_in_either_form():
@@ -171,10 +173,10 @@
 def test_messages_of_format_2_are_answered_in_a_way_that_it_reads(kind, clock, state):
     state.last_ok = clock()
     lead = Leadership("n1", 3, [], state, clock, None, lambda role: None)
-    lead.about = lambda: {"format": 3, "lowered": False}
+    lead.about = lambda: About(3, False)
     lead.want = lambda: [1.0, 1.0]
-    lead.on_told = lambda message: {"knows": True, "leads": False}
-    lead.reply = lambda ping: {"cancelled": [("run-000003", 12)], "complete": True}
+    lead.on_told = lambda jobs: False
+    lead.reply = lambda position: ToldCancellations([("run-000003", 12)], True)
     clock.tick(6.0)
     answer = stored(lead.handle(GOLDEN_2["messages"][kind]))
     golden = GOLDEN_2["answers"][kind]
--- a/tests/test_job_writer.py
+++ b/tests/test_job_writer.py
@@ -220,7 +220,7 @@
     """A leader's writer, and a job that is on as many machines as it may use, but no more than a large fleet has."""
     limits = State(rps=150.0, write_rps=50.0, value_kb=value_kb, txn_ops=txn_ops)
     state.limits, state.txn_ops, state.value_limit = limits, txn_ops, value_limit(value_kb)
-    state.writes = SimpleNamespace(rate=38.0)
+    state.pace = SimpleNamespace(changes=SimpleNamespace(rate=38.0))
     state.keys[keys.LEADER] = ({"node": "n0"}, 5)
     table = JobTable(clock)
     writer = JobWriter(
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,41 @@
+"""Messages between nodes: what can't be read counts as missing, and what says nothing is not sent."""
+
+import pytest
+
+from hookwall.messages import About, Kind, PeerAnswer, PeerMessage, decode_answer, decode_message, encode
+
+PING = {"t": "ping", "n": "n1", "tok": 4, "sok": True, "pos": 3, "format": 2, "lowered": False}
+
+
+def test_a_message_is_read_as_it_was_sent():
+    message = decode_message(PING)
+    assert message == PeerMessage(
+        kind=Kind.PING, node="n1", token=4, state_ok=True, position=3, format=2, lowered=False
+    )  # fmt: skip
+    assert encode(message) == PING and message.about() == About(2, False)
+
+
+@pytest.mark.parametrize("name", ["tok", "sok", "pos", "format", "lowered"])
+@pytest.mark.parametrize("nonsense", ["four", [], {"a": 1}, 1.5])
+def test_a_field_that_can_t_be_read_counts_as_missing(name, nonsense):
+    expected = {key: value for key, value in PING.items() if key != name}
+    assert encode(decode_message({**PING, name: nonsense})) == expected
+
+
+@pytest.mark.parametrize("change", [{"t": "sing"}, {"t": 3}, {"n": None}, {"t": None}])
+def test_a_message_without_kind_or_sender_is_none(change):
+    assert decode_message({**PING, **change}) is None and decode_message({}) is None
+
+
+def test_unknown_fields_are_ignored():
+    assert decode_message({**PING, "later": [1]}) == decode_message(PING)
+
+
+def test_an_answer_that_says_nothing_refuses():
+    assert decode_answer({}) == PeerAnswer() and not decode_answer({"ok": "yes"}).ok
+    assert encode(PeerAnswer()) == {"ok": False, "sok": False}
+
+
+def test_that_the_state_service_fails_is_sent_too():
+    """A peer that hears nothing of it goes on believing what it heard last."""
+    assert encode(PeerMessage(kind=Kind.PING, node="n1", state_ok=False))["sok"] is False
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -22,53 +22,53 @@
 
 def test_all_nodes_together_stay_below_the_limits(params, clock):
     stores = [Store("h:1", params.state, 3, clock) for _ in range(3)]
-    stores[0].lead(True)
-    assert sum(s.writes.rate for s in stores) < params.state.write_rps
-    assert sum(s.requests.rate for s in stores) < params.state.rps
+    stores[0].pace.lead(True)
+    assert sum(s.pace.changes.rate for s in stores) < params.state.write_rps
+    assert sum(s.pace.requests.rate for s in stores) < params.state.rps
 
 
 def test_a_leader_lends_what_a_follower_wants_and_has_it_back(params, clock):
     # All users came to one follower after the other nodes had crashed, and a tenth of the changes kept them 20 s.
     lead, busy, idle = stores = [Store("h:1", params.state, 3, clock) for _ in range(3)]
-    lead.lead(True)
-    own = busy.writes.rate
+    lead.pace.lead(True)
+    own = busy.pace.changes.rate
     for _ in range(40):
         clock.tick(0.1)
-        busy.want.add(1.0, 1.0)
-    busy.borrow(lead.lend("busy", busy.want.now()))
-    idle.borrow(lead.lend("idle", idle.want.now()))
-    assert busy.writes.rate > 2.5 * own and idle.writes.rate == own
-    assert sum(s.writes.rate for s in stores) < params.state.write_rps
-    assert sum(s.requests.rate for s in stores) < params.state.rps
-    assert lead.writes.rate >= 0.4 * params.state.write_rps - 1e-6
+        busy.pace.want.add(1.0, 1.0)
+    busy.pace.borrow(lead.pace.lend("busy", busy.pace.want.now()))
+    idle.pace.borrow(lead.pace.lend("idle", idle.pace.want.now()))
+    assert busy.pace.changes.rate > 2.5 * own and idle.pace.changes.rate == own
+    assert sum(s.pace.changes.rate for s in stores) < params.state.write_rps
+    assert sum(s.pace.requests.rate for s in stores) < params.state.rps
+    assert lead.pace.changes.rate >= 0.4 * params.state.write_rps - 1e-6
     # Nobody says more: a follower stops first, and then the leader has its share again.
     clock.tick(2.6)
     for s in stores:
-        s._take_back()
-    assert busy.writes.rate == own and lead.writes.rate > 0.7 * params.state.write_rps
+        s.pace._take_back()
+    assert busy.pace.changes.rate == own and lead.pace.changes.rate > 0.7 * params.state.write_rps
     # A new role starts from its own share.
-    busy.borrow([5.0, 5.0])
-    busy.lead(False)
-    assert busy.writes.rate == own
+    busy.pace.borrow([5.0, 5.0])
+    busy.pace.lead(False)
+    assert busy.pace.changes.rate == own
 
 
 @pytest.mark.parametrize("nonsense", [None, 3, [1.0], ["a", "b"], [float("nan"), float("inf")], [-1.0, -1.0]])
 def test_a_peers_nonsense_about_shares_changes_none(params, clock, nonsense):
     s = Store("h:1", params.state, 3, clock)
-    s.lead(True)
-    before = s.writes.rate
-    assert s.lend("peer", nonsense) == [0.0, 0.0] and s.writes.rate == before
-    s.lead(False)
-    before = s.writes.rate
-    s.borrow(nonsense)
-    assert s.writes.rate == before
+    s.pace.lead(True)
+    before = s.pace.changes.rate
+    assert s.pace.lend("peer", nonsense) == [0.0, 0.0] and s.pace.changes.rate == before
+    s.pace.lead(False)
+    before = s.pace.changes.rate
+    s.pace.borrow(nonsense)
+    assert s.pace.changes.rate == before
 
 
 def test_a_batch_is_no_larger_than_its_pace(params, clock):
     s = Store("h:1", params.state, 3, clock)
-    s.lead(True)
-    s.writes.delay(s.writes.burst)
-    assert s.writes.delay(float(s.batch()), most=1.0) is not None
+    s.pace.lead(True)
+    s.pace.changes.delay(s.pace.changes.burst)
+    assert s.pace.changes.delay(float(s.batch()), most=1.0) is not None
 
 
 @pytest.mark.parametrize(
@@ -127,7 +127,7 @@
 
 def test_what_is_written_fits_the_limits_of_now_and_those_to_come(clock):
     store = Store("h:1", LOWER, 3, clock)
-    store.lead(True)
+    store.pace.lead(True)
     assert store.txn_ops == 4 and store.batch() <= 4 and store.value_limit < 2048
     assert Store("h:1", State(100.0, 30.0, 16.0, 12), 3, clock).txn_ops == 12
 
@@ -135,24 +135,24 @@
 @pytest.mark.parametrize("answer", [(429, b""), (400, b'{"error":"value too large"}')])
 def test_the_first_refusal_by_a_limit_sets_the_pace_of_the_limits_to_come(clock, answer):
     store = answering(Store("h:1", LOWER, 3, clock), answer)
-    store.lead(True)
-    before = store.writes.rate
+    store.pace.lead(True)
+    before = store.pace.changes.rate
     with pytest.raises(Refused):
         asyncio.run(store.commit([], [("k", 1)]))
-    assert store.lowered_seen() and store.writes.rate == pytest.approx(before * 12.0 / 30.0)
+    assert store.pace.lowered_seen() and store.pace.changes.rate == pytest.approx(before * 12.0 / 30.0)
     stores = [store, *(Store("h:1", LOWER, 3, clock) for _ in range(2))]
     for other in stores:
-        other.lower("a peer says so")
-    assert sum(s.writes.rate for s in stores) < 12.0
+        other.pace.lower("a peer says so")
+    assert sum(s.pace.changes.rate for s in stores) < 12.0
     # The second that is used up is waited for; requests of leadership go on, a change waits its turn.
-    assert store.writes.level_now() <= 0.0 and store.requests.delay(1.0, 1.0) is not None
+    assert store.pace.changes.level_now() <= 0.0 and store.pace.requests.delay(1.0, 1.0) is not None
 
 
 def test_a_lease_that_has_ended_is_told_apart_from_a_size_that_is_refused(clock):
     store = answering(Store("h:1", LOWER, 3, clock), (400, b'{"error":"no such lease"}'), (400, b'{"error":"size"}'))
     with pytest.raises(Unknown):
         asyncio.run(store.commit([], [("k", 1)], hold=7))
-    assert not store.lowered
+    assert not store.pace.lowered
     with pytest.raises(TooLarge):
         asyncio.run(store.commit([], [("k", 1)]))
-    assert store.lowered
+    assert store.pace.lowered
