--- a/hookwall/returning.py
+++ b/hookwall/returning.py
@@ -91,8 +91,8 @@
             if m.phase is Phase.LEAVING:
                 out.append(m)
                 continue
-            if m.name in self.fleet.maintained:
-                continue
+            if m.name in self.fleet.maintained and not m.doubtful:
+                continue  # out of service and empty: its worker may be silent for long
             if m.failed:
                 why = "it has failed"
             elif m.up_at < 0 and self.supply.lists.unlisted(m) and leading > self.supply.lists.late_s:
