--- /dev/null
+++ b/hookwall/admission.py
@@ -0,0 +1,28 @@
+"""Which jobs can never run, whatever the cluster has free."""
+
+from collections.abc import Mapping
+
+from hookwall.settings import Team
+from hookwall.wire import Catalog, JobSpec
+
+ROUNDING = 1e-9
+
+
+def why_impossible(spec: JobSpec, catalog: Catalog, teams: Mapping[str, Team]) -> str | None:
+    """Why the job can never run, or None."""
+    team = teams.get(spec.team)
+    if team is None:
+        return "unknown team"
+    n = spec.tasks if spec.gang else 1
+    if team.gpus_max and spec.gpus * n > team.gpus_max + ROUNDING:
+        return "more GPUs than the team's limit"
+    if team.cpus_max and spec.cpus * n > team.cpus_max + ROUNDING:
+        return "more CPUs than the team's limit"
+    for t in catalog.types:
+        if spec.types is not None and t.name not in spec.types:
+            continue
+        if spec.zone is not None and spec.zone not in t.zones:
+            continue
+        if spec.cpus <= t.cpus + ROUNDING and spec.gpus <= t.gpus + ROUNDING and spec.memory <= t.memory + ROUNDING:
+            return None
+    return "a task fits no allowed machine type"
--- a/hookwall/campaign.py
+++ b/hookwall/campaign.py
@@ -163,7 +163,7 @@
         lead.promise.renew(lead.me, token)
         lead.become(Role.LOADING, f"mode {mode.value}")
         for p in lead.peers:
-            lead.later(lead.ping(p))
+            lead.later(lead.heartbeat.ping(p))
 
     async def _drop_unresolved(self) -> None:
         """End the holds of writes without an answer: a write with a hold that has ended is not carried out."""
--- a/hookwall/job_writer.py
+++ b/hookwall/job_writer.py
@@ -13,8 +13,10 @@
 from hookwall import keys, records
 from hookwall.job import OPEN, Job, write_order
 from hookwall.jobs import JobTable
+from hookwall.keeper_conditions import KeeperConditions
 from hookwall.kept import Kept
 from hookwall.leadership import Leadership
+from hookwall.part_collector import PartCollector
 from hookwall.records import Encoded, RecordTooLarge
 from hookwall.roles import Role
 from hookwall.round_state import StartRoom
@@ -25,12 +27,9 @@
 WRITE_GAP_S = 0.05
 IDLE_S = 0.5
 AFTER_FAILURE_S = 0.2
-WATCH_WAIT_S = 0.5  # for the watch to tell of what a write found changed
-WATCH_STEP_S = 0.02
 BATCH_BYTES = 56 * 1024
 ENTRY_BYTES = 200  # of a transaction, beside each record
 ALONE_S = 5.0  # so long after a write that was too large, each job is written by itself
-COLLECT_EVERY_S = 5.0
 FEW_PARTS = 4  # that the state of most jobs takes
 PARTS_S = 2.0  # a write of one job may take the service's changes for so long: each part is one
 LEAST_PARTS = 2  # and at least so many
@@ -69,15 +68,14 @@
         keep_keys: list[str],
         clock: Callable[[], float],
     ) -> None:
-        self.table, self.store, self.lead, self.kept, self.clock = table, store, lead, kept, clock
-        self.keep_keys = keep_keys
+        self.table, self.store, self.lead, self.clock = table, store, lead, clock
+        self.keepers = KeeperConditions(table, store, kept, keep_keys, clock)
+        self.collector = PartCollector(table, store, lead, clock)
         self.wake = asyncio.Event()
         self.alone_until = -1e9
-        self.collected_at = -1e9
         self.new_formats: Callable[[], bool] = lambda: False
         self.refresh: Callable[[str], Awaitable[None]] = _no_refresh
         self.on_stored: Callable[[], None] = lambda: None
-        self.watched: Callable[[], int] = lambda: 0  # the epoch up to which the watch has told of all changes
 
     async def run(self) -> None:
         """Write for as long as the process runs."""
@@ -92,7 +90,7 @@
             if self.lead.valid() and self.table.parts.incomplete:
                 await self._read_incomplete()
             if self.lead.valid() and self.table.parts.stale:
-                await self._collect_parts()
+                await self.collector.collect()
             await self._wait()
 
     async def _wait(self) -> None:
@@ -121,7 +119,7 @@
         """
         by_pace = int(PARTS_S * self.store.pace.changes.rate)
         by_names = self.store.value_limit // PART_NAME_BYTES
-        by_conditions = self.store.txn_ops * CONDITIONS_PER_CHANGE - len(self.keep_keys) - 2
+        by_conditions = self.store.txn_ops * CONDITIONS_PER_CHANGE - len(self.keepers.keep_keys) - 2
         return max(LEAST_PARTS, min(by_pace, by_names, by_conditions))
 
     # -- one write ---------------------------------------------------------------------------------
@@ -186,7 +184,7 @@
 
     async def _commit(self, token: int, batch: list[PendingWrite]) -> int:
         """Write the records with their new parts, or after them where one transaction does not take all."""
-        fence = [(keys.LEADER, token), *self.kept.conditions(self.keep_keys)]
+        fence = [(keys.LEADER, token), *self.keepers.now()]
         conditions = [*fence, *((keys.JOBS + w.job.ref, w.job.stamp) for w in batch)]
         parts = {key: text for w in batch for key, text in w.new_parts.items()}
         while not self._fit_one_transaction(parts, batch):
@@ -245,9 +243,9 @@
         if keys.LEADER in conflict.failed:
             self.lead.step_down("a write was refused: the leader key has changed")
             return
-        keepers = [key for key in conflict.failed if key in self.keep_keys]
+        keepers = [key for key in conflict.failed if key in self.keepers.keep_keys]
         if keepers:
-            await self._keepers_changed(keepers, conflict.epoch)
+            await self.keepers.changed(keepers, conflict.epoch)
         for key in conflict.failed:
             if not key.startswith(keys.JOBS):
                 continue
@@ -256,43 +254,6 @@
             except (Refused, Unknown) as error:
                 log.debug("refresh of %s: %s", key, error)
 
-    async def _keepers_changed(self, changed: list[str], epoch: int) -> None:
-        """A follower keeps leases that this leader did not know of: what it believed to be over may not be.
-
-        The watch tells of each value that a key has had, so it is waited for. A read shows the last one only, and
-        machines that another value named meanwhile were kept as well.
-        """
-        log.info("keepers have changed; decisions that are not stored are void")
-        if await self._watched(epoch):
-            self.table.revert()
-            return
-        await self._read_keepers(changed)
-        self.any_lease_may_be_kept()
-
-    def any_lease_may_be_kept(self) -> None:
-        """Keepers' keys may have come and gone unseen: what was decided on leases that seemed to be over is void."""
-        self.kept.missed()
-        self.table.revert()
-
-    async def _watched(self, epoch: int) -> bool:
-        """Wait for the watch to tell of all changes up to an epoch; False if it takes too long."""
-        until = self.clock() + WATCH_WAIT_S
-        while self.watched() < epoch and self.clock() < until:
-            await asyncio.sleep(WATCH_STEP_S)
-        return self.watched() >= epoch > 0
-
-    async def _read_keepers(self, changed: list[str]) -> None:
-        """Read keepers' keys of which the watch has not told."""
-        for key in changed:
-            try:
-                got = await self.store.get(key)
-            except (Refused, Unknown):
-                continue
-            if got is not None:
-                self.kept.take(key, *got)
-            elif key in self.kept.keys:
-                self.kept.take(key, None, 0)
-
     async def _read_incomplete(self) -> None:
         """Read a record again whose parts have not been seen: until then nothing of the job is started."""
         ref = self.table.parts.next_incomplete()
@@ -301,37 +262,6 @@
         except (Refused, Unknown) as error:
             log.debug("refresh of %s: %s", ref, error)
 
-    # -- parts that no record names -----------------------------------------------------------------
-
-    async def _collect_parts(self) -> None:
-        """Remove parts of one job that its record does not name, unless the record changes meanwhile.
-
-        A job without a record may be about to get one, so its parts stay.
-        """
-        if not self.store.spare() or self.clock() - self.collected_at < COLLECT_EVERY_S:
-            return
-        self.collected_at = self.clock()
-        ref = self.table.parts.stale.pop()
-        job = self.table.jobs.get(ref)
-        if job is None or not job.stamp or job.writing:
-            return
-        unused = self.table.parts.unused(ref, job.raw)[: self.store.batch()]
-        if not unused:
-            return
-        removed = max(self.table.parts.stamps.get(key, 0) for key in unused)
-        try:
-            conditions = [(keys.LEADER, self.lead.token), (keys.JOBS + ref, job.stamp)]
-            removed = await self.store.commit(conditions, delete=unused)
-        except (Conflict, Refused) as error:
-            log.debug("parts of %s stay: %s", ref, type(error).__name__)
-            self.table.parts.stale.add(ref)
-            return
-        except Unknown:
-            pass  # they may be gone, so they are written anew if they are needed
-        for key in unused:
-            self.table.parts.remove(key, removed)
-        self.table.parts.stale.add(ref)
-
 
 def _first_parts(parts: dict[str, str], most: int) -> list[tuple[str, str]]:
     """As many parts as one transaction takes, at least one."""
--- a/hookwall/leadership.py
+++ b/hookwall/leadership.py
@@ -25,8 +25,10 @@
 from hookwall.campaign import Campaign, hold_s
 from hookwall.clocks import DRIFT, SLACK_S
 from hookwall.handover import Handover
+from hookwall.heartbeat import Heartbeat
 from hookwall.leader_key import LeaderKey
-from hookwall.messages import About, Kind, PeerAnswer, PeerMessage, ToldCancellations
+from hookwall.messages import About, PeerAnswer, PeerMessage, ToldCancellations
+from hookwall.peer_answers import PeerAnswers
 from hookwall.peers import Peer
 from hookwall.promise import PROMISE_S, Promise
 from hookwall.roles import Mode, Role
@@ -35,8 +37,6 @@
 
 log = logging.getLogger("hookwall.leadership")
 
-PING_S = 1.0
-HINT_EVERY = 5  # pings
 RENEW_HOLD_S = {Mode.PROMISE: 5.0, Mode.HOLD: 2.0}
 
 
@@ -91,7 +91,8 @@
         self.hint: Callable[[], object] = lambda: None
         self.on_hint: Callable[[object], None] = lambda _: None
         self.fence: VoterFence | None = None  # against votes that earlier processes of this node gave
-        self.campaign, self.handover = Campaign(self), Handover(self)
+        self.campaign, self.handover, self.answers = Campaign(self), Handover(self), PeerAnswers(self)
+        self.heartbeat = Heartbeat(self)
         self.rank = sorted([me, *[p.name for p in peers]]).index(me)
         self.next_try = 0.0
         self.probe_now = asyncio.Event()
@@ -195,7 +196,7 @@
         if not got.stamp:
             self.promise.no_key(got.position)
 
-    def _note_lapse(self) -> None:
+    def note_lapse(self) -> None:
         """Before validity is extended: if it has ended, another node may have been valid meanwhile."""
         if self.role is Role.LEADER and not self.valid():
             self.on_lapse()
@@ -204,69 +205,7 @@
 
     def handle(self, raw: dict[str, Any]) -> dict[str, Any]:
         """Answer a peer."""
-        message = messages.decode_message(raw)
-        if message is None or message.node == self.me:
-            return messages.encode(PeerAnswer())
-        if message.state_ok:
-            self.peer_state_ok[message.node] = self.clock()
-        elif message.state_ok is not None:
-            self.peer_state_ok.pop(message.node, None)
-        self.on_about(message.node, message.about())
-        answers = {
-            Kind.PING: self._on_ping, Kind.VOTE: self._on_vote, Kind.RELEASE: self._on_release, Kind.FIT: self._on_fit,
-            Kind.CANCELLED: self._on_cancelled,
-        }  # fmt: skip
-        answer = answers[message.kind](message)
-        answer.state_ok, answer.top = self.store.fresh(), self.promise.token
-        answer.beats = self.beats_seen if self.clock() - self.last_beat < 3.0 else 0
-        answer.want = self.want()
-        about = self.about()
-        answer.format, answer.lowered = about.format, about.lowered
-        return messages.encode(answer)
-
-    def _on_ping(self, message: PeerMessage) -> PeerAnswer:
-        """A leader asks for support; a follower says that it is there."""
-        token = message.token or 0
-        if token <= 0:
-            return PeerAnswer()
-        if not self.may_support() or not self.promise.renew(message.node, token):
-            return PeerAnswer(replaced=self.promise.replaced(token))
-        self.leader_heard = self.clock()
-        if message.hint is not None:
-            self.on_hint(message.hint)
-        if self.role is Role.FOLLOWER:
-            self.on_lent(message.lent)
-        told = self.reply(message.position)
-        if token > self.token and self.role.leads():
-            self.step_down("a peer leads with a newer token")
-        return PeerAnswer(ok=True, cancelled=told.jobs, complete=told.complete)
-
-    def _on_vote(self, message: PeerMessage) -> PeerAnswer:
-        """A candidate asks for support."""
-        if self.role.leads() or not self.may_support():
-            return PeerAnswer()
-        dead = message.dead is not False
-        voted = self.promise.vote(message.node, message.replaces or 0, dead, message.campaign or 0)
-        return PeerAnswer(ok=voted, fence=self.fence.stamp if self.fence is not None else 0)
-
-    def _on_release(self, message: PeerMessage) -> PeerAnswer:
-        """A leader gives support back, and may name who is to lead next."""
-        if message.token is not None:
-            self.promise.release(message.node, message.token)
-        if message.unwritten is not None:
-            self.promise.not_replaced(message.node, message.unwritten)
-        if message.resign == self.me:
-            self.next_try = 0.0
-        return PeerAnswer(ok=True)
-
-    def _on_fit(self, message: PeerMessage) -> PeerAnswer:
-        """A leader asks whether the state service answers this node; it is asked at once."""
-        self.probe_now.set()
-        return PeerAnswer(age=self.clock() - self.store.last_ok if self.store.healthy() else None)
-
-    def _on_cancelled(self, message: PeerMessage) -> PeerAnswer:
-        """A node tells of cancellations for its user's sake."""
-        return PeerAnswer(ok=True, knows=True, leads=self.on_told(message.jobs))
+        return self.answers.handle(raw)
 
     def note_answer(self, peer: Peer, answer: PeerAnswer) -> None:
         """What any answer of a peer tells."""
@@ -290,52 +229,6 @@
         for peer in self.peers:
             self.later(self.ask(peer, message))
 
-    async def ping(self, peer: Peer, hint: object = None) -> None:
-        leading = self.role.leads()
-        token = self.token if leading else 0
-        sent = self.clock()
-        about = self.about()
-        message = PeerMessage(
-            kind=Kind.PING, node=self.me, token=token, state_ok=self.store.fresh(), format=about.format,
-            lowered=about.lowered,
-        )  # fmt: skip
-        if leading:
-            message.hint = hint
-            at, want = self.peer_want.get(peer.name, (-1e9, None))
-            message.lent = self.lend(peer.name, want if sent - at < 2.0 * PING_S else None)
-            message.position = self.say()
-        answer = await self.ask(peer, message, timeout=1.5)
-        if answer is None:
-            return
-        self.note_answer(peer, answer)
-        if token and token == self.token and self.role.leads():
-            if answer.ok:
-                # What the promise carries is applied before it counts.
-                self.on_reply(peer.name, sent, ToldCancellations(answer.cancelled, answer.complete is True))
-                self._note_lapse()
-                self.acks[peer.name] = max(sent, self.acks.get(peer.name, -1e9))
-            elif answer.top is not None and answer.top > token:
-                self.step_down(f"{peer.name} knows a newer token")
-            elif answer.replaced is True:
-                # It never supports this token again, so a new one is needed, if the key was not replaced after all.
-                self.step_down(f"{peer.name} has voted to replace this key")
-                self.next_try = self.clock()
-
-    async def ping_loop(self) -> None:
-        turn = 0
-        while True:
-            leading = self.role.leads()
-            # The hint grows with the fleet, so it is told now and then, and put together once for all.
-            hint = self.hint() if leading and turn % HINT_EVERY == 0 else None
-            turn += 1
-            for peer in self.peers:
-                self.later(self.ping(peer, hint))
-            if leading:
-                self._note_lapse()
-            if leading and not self.promise.renew(self.me, self.token) and self.mode is Mode.PROMISE:
-                self.step_down("own promise is with another node")
-            await asyncio.sleep(PING_S)
-
     async def probe_loop(self) -> None:
         """Keep knowing whether the state service answers this node, and whom the key names.
 
@@ -378,7 +271,7 @@
         self.extended_at = now
         try:
             if await self.store.extend(self.hold):
-                self._note_lapse()
+                self.note_lapse()
                 self.hold_until = now + hold_s(self.mode) * (1 - DRIFT)
             else:
                 self.step_down("the hold has ended")
--- a/hookwall/messages.py
+++ b/hookwall/messages.py
@@ -30,7 +30,7 @@
 class PeerMessage(msgspec.Struct, kw_only=True):
     """A request from one node to another."""
 
-    kind: Kind = msgspec.field(name="t")
+    kind: str = msgspec.field(name="t")  # a `Kind`, or one that a newer program knows
     node: str = msgspec.field(name="n")
     state_ok: bool | None = msgspec.field(name="sok", default=None)  # whether the state service answers it
     token: int | None = msgspec.field(name="tok", default=None)  # of the leadership; 0: it does not lead
--- a/hookwall/node.py
+++ b/hookwall/node.py
@@ -1,4 +1,7 @@
-"""One controller node: the slices put together, and the loops that drive them."""
+"""One controller node: the slices put together, and the loops that drive them.
+
+Over 300 lines, a quarter of them in one long constructor, since this is the one place that connects the slices.
+"""
 
 import asyncio
 import logging
@@ -94,7 +97,7 @@
         self.writer.refresh, self.writer.on_stored = self._refresh, self._stored
         self.writer.new_formats = self.api.new_formats = self.formats.pipelines
         self.keeper.packs, self.keeper.numbers = self.formats.pipelines, self.formats.numbered
-        self.writer.watched = lambda: self.watch.epoch
+        self.writer.keepers.watched = lambda: self.watch.epoch
         self.scheduler.start_room = self.writer.start_room
         drain = (operations or Operations()).drain
         self.drains = DrainSlice(drain.enabled, bool(drain.budgets), lambda: self._drain_controller(drain, wall))
@@ -189,7 +192,7 @@
         self._keepers_missing(found)
         self.drains.read_all(found)
         if self.leadership.role is Role.LEADER:
-            self.writer.any_lease_may_be_kept()  # changes were missed
+            self.writer.keepers.any_lease_may_be_kept()  # changes were missed
         leader = False
         for key, value, stamp in found:
             leader = leader or key == keys.LEADER
@@ -334,7 +337,7 @@
             "write": self.writer.run,
             "formats": self.formats.run,
             "round": self.round_loop,
-            "ping": lead.ping_loop,
+            "ping": lead.heartbeat.run,
             "probe": lead.probe_loop,
             **({"fence": lead.fence.run} if lead.fence is not None else {}),
             "lead": lambda: lead.run(lambda: bool(self.fleet.machines)),
--- /dev/null
+++ b/hookwall/part_collector.py
@@ -0,0 +1,50 @@
+"""Removes parts that no record names any more (records.py)."""
+
+import logging
+from collections.abc import Callable
+
+from hookwall import keys
+from hookwall.jobs import JobTable
+from hookwall.leadership import Leadership
+from hookwall.store import Conflict, Refused, Store, Unknown
+
+log = logging.getLogger("hookwall.job_writer")
+
+COLLECT_EVERY_S = 5.0
+
+
+class PartCollector:
+    """Looks after one job's parts at a time, while changes are to spare."""
+
+    def __init__(self, table: JobTable, store: Store, lead: Leadership, clock: Callable[[], float]) -> None:
+        self.table, self.store, self.lead, self.clock = table, store, lead, clock
+        self.collected_at = -1e9
+
+    async def collect(self) -> None:
+        """Remove parts of one job that its record does not name, unless the record changes meanwhile.
+
+        A job without a record may be about to get one, so its parts stay.
+        """
+        if not self.store.spare() or self.clock() - self.collected_at < COLLECT_EVERY_S:
+            return
+        self.collected_at = self.clock()
+        ref = self.table.parts.stale.pop()
+        job = self.table.jobs.get(ref)
+        if job is None or not job.stamp or job.writing:
+            return
+        unused = self.table.parts.unused(ref, job.raw)[: self.store.batch()]
+        if not unused:
+            return
+        removed = max(self.table.parts.stamps.get(key, 0) for key in unused)
+        try:
+            conditions = [(keys.LEADER, self.lead.token), (keys.JOBS + ref, job.stamp)]
+            removed = await self.store.commit(conditions, delete=unused)
+        except (Conflict, Refused) as error:
+            log.debug("parts of %s stay: %s", ref, type(error).__name__)
+            self.table.parts.stale.add(ref)
+            return
+        except Unknown:
+            pass  # they may be gone, so they are written anew if they are needed
+        for key in unused:
+            self.table.parts.remove(key, removed)
+        self.table.parts.stale.add(ref)
--- a/hookwall/renting.py
+++ b/hookwall/renting.py
@@ -16,7 +16,8 @@
 from hookwall.machine_list import MachineList
 from hookwall.placement import EPS, Ask, allowed, units
 from hookwall.returning import Returning
-from hookwall.scheduler import Scheduler, needy
+from hookwall.round_state import needy
+from hookwall.scheduler import Scheduler
 from hookwall.settings import Params
 from hookwall.supply import Hire, Pool, Supply
 from hookwall.wire import Catalog
--- a/hookwall/round_state.py
+++ b/hookwall/round_state.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass, field
 
 from hookwall.job import Active, Job
-from hookwall.placement import Ask, Room, allowed
+from hookwall.placement import EPS, Ask, Room, allowed
+
+MACHINE_BYTES = 40  # of a record, for each machine that it names
+START_BYTES = 14  # and for each start, with what it leaves in the ranges of tasks that are done
+LEAST_STARTS = 8  # that any record can name
 
 
 @dataclass(slots=True)
@@ -79,3 +83,29 @@
     def may_fit(self, gpus: float) -> dict[int, Room]:
         """Under load few machines have a GPU left, and only those matter to a task that needs one."""
         return self.free if gpus > 0 else self.rooms
+
+    def take(self, index: int, job: Job, tasks: int) -> None:
+        """Some tasks of a job are placed on a machine."""
+        spec = job.spec
+        assert spec is not None
+        room = self.rooms[index]
+        room.cpus -= spec.cpus * tasks
+        room.gpus -= spec.gpus * tasks
+        room.memory -= spec.memory * tasks
+        room.warm = {*room.warm, job.image}
+        if room.gpus <= EPS:
+            self.free.pop(index, None)
+
+
+def most_starts(job: Job, room: StartRoom) -> int:
+    """How many more starts the job's record can name: a value has a limit, and ranges are short."""
+    starts = len(job.active)
+    used = MACHINE_BYTES * len({a.machine for a in job.active.values()}) + START_BYTES * starts
+    usual = (room.usual - used) / START_BYTES
+    most = (room.most - used) / (MACHINE_BYTES + START_BYTES)
+    return max(0, LEAST_STARTS - starts, int(usual), int(most))
+
+
+def needy(waiting: dict[str, QueuedJob]) -> list[QueuedJob]:
+    """Queued jobs in the order in which the cloud slice rents for them."""
+    return sorted(waiting.values(), key=lambda w: (w.job.rank, w.job.arrival, w.job.ref))
--- a/hookwall/scheduler.py
+++ b/hookwall/scheduler.py
@@ -19,8 +19,9 @@
 from hookwall.preemption import Preemption
 from hookwall.records import plain_starts_bytes
 from hookwall.reservations import Reservations
-from hookwall.round_state import QueuedJob, RoundState, StartRoom, Usage
+from hookwall.round_state import QueuedJob, RoundState, StartRoom, Usage, most_starts
 from hookwall.settings import Params
+from hookwall.team_limits import TeamLimits
 
 log = logging.getLogger("hookwall.scheduler")
 
@@ -28,9 +29,6 @@
 MOST_ROUND_S = 0.12  # reports and health checks wait meanwhile
 MOST_FRESH = 60  # jobs with starts that wait to be stored
 HOLD_AFTER_S = 1.0
-MACHINE_BYTES = 40  # of a record, for each machine that it names
-START_BYTES = 14  # and for each start, with what it leaves in the ranges of tasks that are done
-LEAST_STARTS = 8  # that any record can name
 
 
 class Scheduler:
@@ -45,7 +43,7 @@
         wall: Callable[[], float] = time.time,
     ) -> None:
         self.params, self.table, self.fleet, self.clock, self.wall = params, table, fleet, clock, wall
-        self.limits = [params.teams[i] for i in range(len(params.teams))]
+        self.limits = list(params.teams)
         # A budget of time that stayed as it was when the share was halved cut each round's work to a half as well.
         self.budget_s = min(MOST_ROUND_S, ROUND_CORE_S / max(0.01, params.machine_limits.core_share))
         self.resume: tuple | None = None
@@ -60,6 +58,7 @@
         for o in params.objectives:
             if o.kind == "wait" and o.job_class and o.within_s:
                 self.last_start[o.job_class] = max(o.within_s, self.last_start.get(o.job_class, 0.0))
+        self.teams = TeamLimits(self.limits, table)
         self.affinity = ImageAffinity(self.waiting, fleet, wall, self.last_start)
         self.preemption = Preemption(self.limits, fleet, self.ask)
         self.reservations = Reservations(table, fleet, self.waiting, self.affinity, self.preemption)
@@ -94,38 +93,6 @@
         job = self.table.open.get(ref)
         return job is not None and job.phase == OPEN and ref in self.waiting
 
-    def guaranteed(self) -> set[str]:
-        """Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs."""
-        out: set[str] = set()
-        if not any(team.gpus or team.cpus for team in self.limits):
-            return out
-        want: dict[int, Usage] = {}
-        for job in sorted(self.table.open.values(), key=lambda j: (j.arrival, j.ref)):
-            if job.phase != OPEN or job.spec is None or not 0 <= job.team < len(self.limits):
-                continue
-            team = self.limits[job.team]
-            u = want.setdefault(job.team, Usage())
-            u.cpus += job.spec.cpus * job.tasks
-            u.gpus += job.spec.gpus * job.tasks
-            if (team.gpus or team.cpus) and (
-                (not team.gpus or u.gpus <= team.gpus + 1e-9) and (not team.cpus or u.cpus <= team.cpus + 1e-9)
-            ):
-                out.add(job.ref)
-        return out
-
-    def quota(self, job: Job, state: RoundState) -> int:
-        """How many more tasks of the job its team's limit admits."""
-        if not 0 <= job.team < len(self.limits):
-            return 0
-        team, u, spec = self.limits[job.team], state.usage.get(job.team) or Usage(), job.spec
-        assert spec is not None
-        n = job.tasks
-        if team.gpus_max and spec.gpus > 0:
-            n = min(n, int((team.gpus_max - u.gpus + 1e-6) / spec.gpus))
-        if team.cpus_max and spec.cpus > 0:
-            n = min(n, int((team.cpus_max - u.cpus + 1e-6) / spec.cpus))
-        return max(0, n)
-
     # -- a round -------------------------------------------------------------------------------
 
     def round(self) -> bool:
@@ -146,7 +113,7 @@
         if not pending:
             self.resume = None
             return False
-        firm = self.guaranteed()
+        firm = self.teams.guaranteed()
         queue = [((job.ref not in firm, job.rank, job.arrival, job.ref), job) for job in pending]
         queue.sort(key=lambda q: q[0])
         start = 0
@@ -203,8 +170,8 @@
         """Place what can be placed of one job; see to room for the rest."""
         spec = job.spec
         assert spec is not None
-        count = job.tasks if spec.gang else min(job.n_pending(), self._widest(job))
-        admitted = self.quota(job, state)
+        count = job.tasks if spec.gang else min(job.n_pending(), most_starts(job, self.start_room()))
+        admitted = self.teams.quota(job, state)
         if admitted < (count if spec.gang else 1):
             self.waiting.pop(job.ref, None)  # room would not help: it waits for its own team
             return
@@ -247,7 +214,7 @@
             machine = self.fleet.by_index[index]
             for task in islice(tasks, n):
                 self.fleet.put(job, task, machine, attempt, now)
-            self._take(state, index, job, n)
+            state.take(index, job, n)
             self.reservations.reserved.pop(index, None)
             if machine.held_for == job.ref:
                 machine.held_for = ""
@@ -328,27 +295,3 @@
         if w is None:
             self.waiting[job.ref] = QueuedJob(job, 1, now, served=now)
         return True
-
-    def _widest(self, job: Job) -> int:
-        """How many more starts the job's record can name: a value has a limit, and ranges are short."""
-        room, starts = self.start_room(), len(job.active)
-        used = MACHINE_BYTES * len({a.machine for a in job.active.values()}) + START_BYTES * starts
-        usual = (room.usual - used) / START_BYTES
-        most = (room.most - used) / (MACHINE_BYTES + START_BYTES)
-        return max(0, LEAST_STARTS - starts, int(usual), int(most))
-
-    def _take(self, state: RoundState, index: int, job: Job, n: int) -> None:
-        spec = job.spec
-        assert spec is not None
-        room = state.rooms[index]
-        room.cpus -= spec.cpus * n
-        room.gpus -= spec.gpus * n
-        room.memory -= spec.memory * n
-        room.warm = {*room.warm, job.image}
-        if room.gpus <= EPS:
-            state.free.pop(index, None)
-
-
-def needy(waiting: dict[str, QueuedJob]) -> list[QueuedJob]:
-    """QueuedJob jobs in the order in which the cloud slice rents for them."""
-    return sorted(waiting.values(), key=lambda w: (w.job.rank, w.job.arrival, w.job.ref))
--- a/hookwall/server.py
+++ b/hookwall/server.py
@@ -17,7 +17,8 @@
 from aiohttp.streams import StreamReader
 
 from hookwall import wire
-from hookwall.user_api import LATER, Answer, UserApi
+from hookwall.answers import LATER, Answer
+from hookwall.user_api import UserApi
 
 log = logging.getLogger("hookwall.server")
 
--- a/hookwall/user_api.py
+++ b/hookwall/user_api.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from hookwall import keys, records, wire
+from hookwall.admission import why_impossible
+from hookwall.answers import NO_SUCH_JOB, TOO_LARGE, Answer, later
 from hookwall.confirmer import Confirmer
 from hookwall.job import DONE, OPEN, WITHDRAWN, Job
 from hookwall.jobs import JobTable
@@ -19,23 +21,13 @@
 
 log = logging.getLogger("hookwall.user_api")
 
-Answer = tuple[int, bytes, dict[str, str] | None]
-
 
 async def _always(ref: str, stamp: int) -> bool:
     """Where there is nobody else to tell."""
     return True
 
 
-LATER = {"Retry-After": "1"}
 PARTS_S = 3.0  # a user waits 5 s for an answer; what could not be stored by then is gone on with next time
-TOO_LARGE = 413, b'{"error":"description too large"}', None
-NO_SUCH_JOB = b'{"error":"no such job"}'
-
-
-def later(why: str) -> Answer:
-    """Can't be answered now: said at once, with when to come back."""
-    return 503, b'{"error":"' + why.encode() + b'"}', LATER
 
 
 class UserApi:
@@ -168,25 +160,6 @@
         job = self.table.jobs.get(ref)
         return job is not None and job.stamp > 0 and job.final()
 
-    def impossible(self, spec: JobSpec, catalog: Catalog) -> str | None:
-        """Why the job can never run, or None."""
-        team = self.teams.get(spec.team)
-        if team is None:
-            return "unknown team"
-        n = spec.tasks if spec.gang else 1
-        if team.gpus_max and spec.gpus * n > team.gpus_max + 1e-9:
-            return "more GPUs than the team's limit"
-        if team.cpus_max and spec.cpus * n > team.cpus_max + 1e-9:
-            return "more CPUs than the team's limit"
-        for t in catalog.types:
-            if spec.types is not None and t.name not in spec.types:
-                continue
-            if spec.zone is not None and spec.zone not in t.zones:
-                continue
-            if spec.cpus <= t.cpus + 1e-9 and spec.gpus <= t.gpus + 1e-9 and spec.memory <= t.memory + 1e-9:
-                return None
-        return "a task fits no allowed machine type"
-
     async def submit(self, body: bytes) -> Answer:
         """A new job, or one that was submitted before."""
         try:
@@ -221,7 +194,7 @@
 
     async def _refusal(self, spec: JobSpec, catalog: Catalog) -> Answer | None:
         """Why a new job can't be accepted, ever or now; None if it can."""
-        why = self.impossible(spec, catalog)
+        why = why_impossible(spec, catalog, self.teams)
         if why is None and spec.needs:
             if spec.ref in spec.needs:
                 why = "awaits: the job itself"
--- a/tests/test_job_writer.py
+++ b/tests/test_job_writer.py
@@ -15,7 +15,7 @@
 from hookwall.kept import Kept
 from hookwall.records import JobRecord, encode, size, value_limit
 from hookwall.roles import Role
-from hookwall.scheduler import MACHINE_BYTES, START_BYTES
+from hookwall.round_state import MACHINE_BYTES, START_BYTES
 from hookwall.settings import State
 from hookwall.store import Conflict, Unknown
 from hookwall.wire import JobSpec
@@ -47,7 +47,7 @@
 
 def test_a_part_that_the_record_does_not_name_is_removed_and_no_other(writer, state):
     before = len(parts(state))
-    asyncio.run(writer._collect_parts())
+    asyncio.run(writer.collector.collect())
     assert len(parts(state)) == before - 1 and f"{keys.PARTS}run-000001/x" not in state.keys
 
 
@@ -56,14 +56,14 @@
     """Carried out late, the removal could take a part that a newer record names again."""
     state.keys[changed] = (state.keys[changed][0], 10)
     before = parts(state)
-    asyncio.run(writer._collect_parts())
+    asyncio.run(writer.collector.collect())
     assert parts(state) == before and "run-000001" in writer.table.parts.stale
 
 
 def test_parts_of_a_job_that_has_no_record_yet_stay(writer, state):
     writer.table.jobs["run-000001"].stamp = 0
     before = parts(state)
-    asyncio.run(writer._collect_parts())
+    asyncio.run(writer.collector.collect())
     assert parts(state) == before
 
 
@@ -138,19 +138,19 @@
     """The key named vm-1, was gone and now names vm-9: only the watch tells of the first."""
     state.keys[KEEPER] = ({"machines": ["vm-9"]}, 12)
     clock.tick(5.0)
-    leads._watched = _not
+    leads.keepers._watched = _not
     write(leads)
     assert machines(leads) == ["vm-1"]
-    assert leads.kept.kept("vm-9") and leads.kept.heard("vm-1") == clock()
+    assert leads.keepers.kept.kept("vm-9") and leads.keepers.kept.heard("vm-1") == clock()
 
 
 def test_where_the_watch_has_told_of_all_leases_count_as_before(leads, state, clock):
     state.keys[KEEPER] = ({"machines": ["vm-9"]}, 9)
-    leads.kept.take(KEEPER, {"machines": ["vm-9"]}, 8)
-    leads.watched = lambda: 9
+    leads.keepers.kept.take(KEEPER, {"machines": ["vm-9"]}, 8)
+    leads.keepers.watched = lambda: 9
     state.commit = _conflict
     write(leads)
-    assert machines(leads) == ["vm-1"] and leads.kept.heard("vm-1") < clock()
+    assert machines(leads) == ["vm-1"] and leads.keepers.kept.heard("vm-1") < clock()
     assert "get " + KEEPER not in state.requests
 
 
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -148,7 +148,7 @@
     asyncio.run(lead.campaign.run())
     before = clock()
     lead.peers[0].answer = slow
-    asyncio.run(lead.ping(lead.peers[0]))
+    asyncio.run(lead.heartbeat.ping(lead.peers[0]))
     assert lead.acks["n1"] == before
 
 
@@ -233,8 +233,8 @@
     state.mode, state.bad_since = "down", clock()
     for _ in range(4):
         clock.tick(1.0)
-        asyncio.run(lead.ping(lead.peers[0]))
-        asyncio.run(lead.ping(lead.peers[1]))
+        asyncio.run(lead.heartbeat.ping(lead.peers[0]))
+        asyncio.run(lead.heartbeat.ping(lead.peers[1]))
         asyncio.run(lead.handover.look_after(clock(), False))
     assert lead.valid()
 
@@ -397,7 +397,7 @@
         if message.get("tok") != before
         else {"ok": False, "top": 0, "replaced": True}
     )
-    asyncio.run(lead.ping(lead.peers[0]))
+    asyncio.run(lead.heartbeat.ping(lead.peers[0]))
     assert lead.role is Role.FOLLOWER and lead.campaign.may_begin()
     asyncio.run(lead.campaign.run())
     assert lead.role is Role.LEADER and lead.token > before
@@ -470,11 +470,11 @@
     lead.on_lapse = lambda: lapses.append(clock())
     clock.tick(PROMISE_S * 0.9)
     lead.promise.renew("n0", lead.token)
-    asyncio.run(lead.ping(lead.peers[0]))
+    asyncio.run(lead.heartbeat.ping(lead.peers[0]))
     assert lead.valid() and lapses == []
     clock.tick(PROMISE_S)
     lead.promise.renew("n0", lead.token)
-    asyncio.run(lead.ping(lead.peers[0]))
+    asyncio.run(lead.heartbeat.ping(lead.peers[0]))
     assert lead.valid() and lapses == [clock()]
 
 
@@ -493,7 +493,7 @@
     async def one_turn():
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(0.01):
-                await lead.ping_loop()
+                await lead.heartbeat.run()
 
     asyncio.run(one_turn())
     assert lapses == [clock(), clock()] and lead.valid()
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hookwall.leadership import Leadership
 from hookwall.messages import About, Kind, PeerAnswer, PeerMessage, decode_answer, decode_message, encode
 
 PING = {"t": "ping", "n": "n1", "tok": 4, "sok": True, "pos": 3, "format": 2, "lowered": False}
@@ -22,11 +23,19 @@
     assert encode(decode_message({**PING, name: nonsense})) == expected
 
 
-@pytest.mark.parametrize("change", [{"t": "sing"}, {"t": 3}, {"n": None}, {"t": None}])
+@pytest.mark.parametrize("change", [{"t": 3}, {"n": None}, {"t": None}])
 def test_a_message_without_kind_or_sender_is_none(change):
     assert decode_message({**PING, **change}) is None and decode_message({}) is None
 
 
+def test_a_kind_that_only_newer_programs_know_is_refused_but_tells_how_this_node_is(clock, state):
+    state.last_ok = clock()
+    lead = Leadership("n0", 3, [], state, clock, None, lambda role: None)
+    lead.about = lambda: About(4, False)
+    answer = decode_answer(lead.handle({"t": "sing", "n": "n1"}))
+    assert not answer.ok and answer.state_ok and answer.top == 0 and answer.about() == About(4, False)
+
+
 def test_unknown_fields_are_ignored():
     assert decode_message({**PING, "later": [1]}) == decode_message(PING)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -88,7 +88,7 @@
     assert asyncio.run(node.beat(report(1)))[0] == 200
     began = node.fleet.began
     clock.tick(PROMISE_S + 1.0)
-    node.leadership._note_lapse()
+    node.leadership.note_lapse()
     node.leadership.acks["n1"] = clock()
     node.leadership.promise.until = clock() + PROMISE_S
     assert asyncio.run(node.beat(report(2, token=5)))[0] == 200
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,7 +5,7 @@
 
 from hookwall import scheduler as sched
 from hookwall.records import plain
-from hookwall.round_state import StartRoom
+from hookwall.round_state import MACHINE_BYTES, START_BYTES, StartRoom
 from hookwall.settings import MachineLimits
 
 
@@ -429,7 +429,7 @@
 def test_a_large_record_may_name_more_starts_than_a_usual_one(cluster):
     for n in range(1, 13):
         cluster.beat(f"vm-{n}")
-    cluster.scheduler.start_room = lambda: StartRoom(0.0, 20 * (sched.MACHINE_BYTES + sched.START_BYTES) + 1.0)
+    cluster.scheduler.start_room = lambda: StartRoom(0.0, 20 * (MACHINE_BYTES + START_BYTES) + 1.0)
     job = cluster.submit(1, pieces=40)
     cluster.scheduler.round()
     assert len(job.active) == 20
