--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 # Bodies are JSON of any form, as on the wire; a worker waits in small steps, as its next report may become due sooner.
 
 import asyncio
+import bisect
 import contextlib
 import json
 import os
@@ -125,7 +126,9 @@
         self.limits = limits
         self.epoch = 0
         self.keys: dict[str, tuple[Any, int, int | None]] = {}
+        self.names: list[str] | None = None  # the keys in order; None: to be sorted again
         self.log: list[tuple[int, dict[str, Any]]] = []
+        self.forgotten_epoch = 0  # changes up to this one are not kept
         self.holds: dict[int, Session] = {}
         self.last_hold = 0
         self.refused: set[str] = set()  # nodes that get 503
@@ -187,6 +190,7 @@
             self.epoch += 1
         for key in keys:
             del self.keys[key]
+            self.names = None
             self._note("-", key, None, f"hold {hold} {why}")
         self._wake()
 
@@ -232,7 +236,10 @@
     def _scan(self, request: web.Request) -> tuple[int, dict[str, Any]]:
         under, after = request.query["under"], request.query.get("after", "")
         most = min(PAGE_ITEMS, int(request.query.get("most", PAGE_ITEMS)))
-        names = [key for key in sorted(self.keys) if key.startswith(under) and key > after]
+        if self.names is None:
+            self.names = sorted(self.keys)
+        first = bisect.bisect_right(self.names, max(after, under))
+        names = [key for key in self.names[first : first + most + 1] if key.startswith(under)]
         entries: list[dict[str, Any]] = []
         size = 0
         for key in names[:most]:
@@ -263,6 +270,8 @@
             self.epoch += 1
         for change in changes:
             key = change.get("set") or change["delete"]
+            if key not in self.keys or "delete" in change:
+                self.names = None
             if "delete" in change:
                 if self.keys.pop(key, None) is not None:
                     self._note(node, key, None)
@@ -281,7 +290,7 @@
         until = time.monotonic() + min(60.0, int(request.query.get("blockMs", "0")) / 1000)
         under = request.query["under"]
         while True:
-            if len(self.log) >= CHANGES_KEPT and after < self.log[0][0] - 1:
+            if after < self.forgotten_epoch or (len(self.log) >= CHANGES_KEPT and after < self.log[0][0] - 1):
                 return None
             changes = [c for e, c in reversed_until(self.log, after) if (c.get("set") or c["delete"]).startswith(under)]
             blocked = self.down or node in self.refused
@@ -412,6 +421,8 @@
         self.reaches: Callable[[str], bool] = lambda _node: True
         self.token_change_at = -1e9
         self.session: ClientSession | None = None
+        self.report_bytes = 0  # of the last report
+        self.refusals = 0  # reports that were answered neither 200 nor 421
         self.loops = [asyncio.create_task(self._run()), asyncio.create_task(self._step())]
 
     def listed(self) -> dict[str, Any]:
@@ -500,6 +511,9 @@
             await asyncio.sleep(random.uniform(0.0, 0.5))
             self.due_soon = True
             return
+        if status != 421:
+            self.refusals += 1
+            self.cluster.record.line(f"worker {self.name} report of {self.report_bytes} bytes to {name} -> {status}")
         await asyncio.sleep(1.0)
         self.node = (self.node + 1) % len(self.cluster.names)
         self.due_soon = True
@@ -511,7 +525,9 @@
             return 0, {}
         url = f"http://127.0.0.1:{self.cluster.ports[name]['public']}/agent/beat"
         try:
-            async with self.session.post(url, json=body) as response:
+            data = json.dumps(body, separators=(",", ":"))
+            self.report_bytes = len(data)
+            async with self.session.post(url, data=data, headers={"Content-Type": "application/json"}) as response:
                 raw = await response.read()
                 return response.status, json.loads(raw) if raw else {}
         except (ClientError, TimeoutError, OSError, ValueError):
@@ -520,7 +536,8 @@
     def _execute(self, order: dict[str, Any]) -> None:
         piece, attempt, verb = order["piece"], order["try"], order["verb"]
         task = self.tasks.get(piece)
-        self.cluster.record.line(f"worker {self.name} executes {verb} {piece} try {attempt}")
+        if self.cluster.verbose:
+            self.cluster.record.line(f"worker {self.name} executes {verb} {piece} try {attempt}")
         self.due_soon = True
         if verb == "launch":
             if task is not None and task.attempt == attempt:
@@ -552,7 +569,7 @@
     accepted_at: float | None = None
     started: set[str] = field(default_factory=set)
     done: set[str] = field(default_factory=set)
-    answers: list[tuple[float, str, int, str]] = field(default_factory=list)
+    final: str | None = None  # the final phase that its user was told
 
 
 def description(number: int, **changes: Any) -> dict[str, Any]:
@@ -587,6 +604,8 @@
         self.limits = limits
         self.teams = teams
         self.extra_settings = settings
+        self.core_share = 0.432
+        self.memory_mb = 186.0
         self.names = [f"wallhost-{i}" for i in range(controllers)]
         ports = iter(free_ports(5 * controllers))
         self.ports = {
@@ -603,7 +622,7 @@
         self.session: ClientSession | None = None
         self.last_machine = 0
         self.starts: list[tuple[float, str, str, int]] = []
-        self.ended = False
+        self.verbose = True  # whether each start and end of a task is recorded
 
     # -- setup -----------------------------------------------------------------------------------
 
@@ -650,7 +669,8 @@
         lines += ["[settings.state]", f"rps = {self.limits.rps}", f"write_rps = {self.limits.write_rps}",
                   f"value_kb = {self.limits.value_kb}", f"txn_ops = {self.limits.txn_ops}"]  # fmt: skip
         lines += ["[settings.cloud]", "rps = 2.0", f"list_lag_s = {self.cloud.lag_s}"]
-        lines += ["[settings.machine_limits]", "core_share = 0.432", "memory_mb = 186.0", "sockets = 1200"]
+        lines += ["[settings.machine_limits]"]
+        lines += [f"core_share = {self.core_share}", f"memory_mb = {self.memory_mb}", "sockets = 1200"]
         return "\n".join(lines) + "\n" + self.extra_settings
 
     def start(self, name: str) -> None:
@@ -676,7 +696,6 @@
 
     async def close(self) -> None:
         """End all processes and stand-ins."""
-        self.ended = True
         for name in list(self.processes):
             self.kill(name)
         for worker in self.workers.values():
@@ -730,7 +749,8 @@
 
     def on_start(self, worker: Worker, piece: str, task: Task) -> None:
         """Note that a task is on its machine from now on."""
-        self.record.line(f"task {piece} try {task.attempt} is on {worker.name}")
+        if self.verbose:
+            self.record.line(f"task {piece} try {task.attempt} is on {worker.name}")
         self.jobs[piece.rpartition("/")[0]].started.add(piece)
         self.starts.append((self.record.now(), piece, worker.name, task.attempt))
         for other in self.workers.values():
@@ -738,13 +758,18 @@
             if other is not worker and twin is not None and twin.phase in ("waiting", "running", "saving"):
                 self.ran_twice(piece, other, worker)
 
+    def starts_of(self, job: Job) -> list[tuple[float, str, str, int]]:
+        """Return the starts of a job's tasks: time, task, machine and attempt."""
+        return [start for start in self.starts if start[1].rpartition("/")[0] == job.spec["ref"]]
+
     def ran_twice(self, piece: str, first: Worker, second: Worker) -> None:
         """Note that a task starts on a machine while it is on another one."""
         self.record.line(f"RAN TWICE {piece} on {first.name} and {second.name}")
 
     def on_end(self, worker: Worker, piece: str, task: Task, cause: str) -> None:
         """Note the end of a task."""
-        self.record.line(f"task {piece} try {task.attempt} ends on {worker.name}: {cause}")
+        if self.verbose:
+            self.record.line(f"task {piece} try {task.attempt} ends on {worker.name}: {cause}")
 
     # -- users -----------------------------------------------------------------------------------
 
@@ -784,16 +809,22 @@
         node = name or await self.healthy_node()
         status, answer = await self.request(node, "GET", f"/v1/jobs/{job.spec['ref']}", timeout_s=2.0)
         phase = answer.get("phase", "")
-        job.answers.append((self.record.now(), node, status, phase))
+        if status == 200 and phase in ("done", "withdrawn"):
+            job.final = phase
         return status, phase
 
+    async def pick_healthy(self) -> str | None:
+        """Return a node that is healthy now, as the load balancer would pick it; None if there is none."""
+        for name in random.sample(self.names, len(self.names)):
+            if name in self.processes and (await self.request(name, "GET", "/up", timeout_s=1.0))[0] == 200:
+                return name
+        return None
+
     async def healthy_node(self) -> str:
-        """Return a node that is healthy, as the load balancer would pick it."""
-        while True:
-            for name in random.sample(self.names, len(self.names)):
-                if name in self.processes and (await self.request(name, "GET", "/up", timeout_s=1.0))[0] == 200:
-                    return name
+        """Return a node that is healthy, once there is one."""
+        while (name := await self.pick_healthy()) is None:
             await asyncio.sleep(0.5)
+        return name
 
     def leader(self) -> str | None:
         """Return the node that the leader key names."""
