--- a/review/2/case.py
+++ b/review/2/case.py
@@ -81,7 +81,7 @@
     try:
         await cluster.open()
         for i in range(8):
-            cluster.add_machine(ZONES[i % 3])
+            cluster.add_machine(ZONES[i % 3]).next_step = 1 if i % 2 else -1
         for name in cluster.names:
             cluster.start(name)
         await cluster.wait_until(lambda: cluster.leader() is not None, 12.0, "a leader")
--- a/review/standins.py
+++ b/review/standins.py
@@ -410,6 +410,7 @@
         self.up_at = time.monotonic() + boot_s
         self.rented_at = time.monotonic()
         self.node = node
+        self.next_step = 1  # to the next node in its order; -1: in the opposite order
         self.tenure = 1
         self.tick = 0
         self.mandate = 0
@@ -515,7 +516,7 @@
             self.refusals += 1
             self.cluster.record.line(f"worker {self.name} report of {self.report_bytes} bytes to {name} -> {status}")
         await asyncio.sleep(1.0)
-        self.node = (self.node + 1) % len(self.cluster.names)
+        self.node = (self.node + self.next_step) % len(self.cluster.names)
         self.due_soon = True
 
     async def _post(self, name: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
