--- a/review/2/case.py
+++ b/review/2/case.py
@@ -38,10 +38,10 @@
         self.renewed: dict[str, float] = {}  # when a follower last renewed the hold of its key
 
     def _next_tick_s(self, candidate: str) -> float:
-        """Return the seconds until a follower other than the candidate looks after its key."""
+        """Return the seconds until a follower other than the candidate looks after its key, at most if unknown."""
         now = time.monotonic()
         left = [TICK_S - (now - at) % TICK_S for node, at in self.renewed.items() if node != candidate]
-        return min(left, default=0.0)
+        return min(left, default=TICK_S)
 
     async def before(self, node: str, method: str, path: str, body: Any) -> None:
         """Delay the execution of a request."""
@@ -53,10 +53,15 @@
             if session is not None and f"hookwall/keep/{node}" in session.keys:
                 self.renewed[node] = time.monotonic()
             return
-        sets_leader = path == "/commit" and any(c.get("set") == LEADER_KEY for c in body.get("apply") or ())
-        long_hold = path == "/holds" and body["ttlMs"] >= 60_000
-        if sets_leader or long_hold or path == f"/store/{LEADER_KEY}":
-            delay_s = min(SLOW_S, max(0.0, self._next_tick_s(node) - 0.12))
+        before_tick_s = None  # when to execute the request, before a follower looks after its key
+        if path == f"/store/{LEADER_KEY}":
+            before_tick_s = 0.38
+        elif path == "/holds" and body["ttlMs"] >= 60_000:
+            before_tick_s = 0.2
+        elif path == "/commit" and any(c.get("set") == LEADER_KEY for c in body.get("apply") or ()):
+            before_tick_s = 0.15
+        if before_tick_s is not None:
+            delay_s = min(SLOW_S, max(0.0, self._next_tick_s(node) - before_tick_s))
             self.cluster.record.line(f"state takes {delay_s:.2f} s to execute {method} {path} of {node}")
             await asyncio.sleep(delay_s)
 
