--- a/review/2/case.py
+++ b/review/2/case.py
@@ -107,6 +107,7 @@
         record.line("no disruption from now on")
         cluster.state.on_conflict.append(note_conflict)
         second = await cluster.submit(2, 5.0, within_s=5.0, cores=6.0, cards=1.0)
+        cluster.check_time_left(WAITING_S + 4.0)
         until = time.monotonic() + WAITING_S
         room = set(cluster.workers)  # machines that had room all the time
         next_poll = 0.0
--- a/review/standins.py
+++ b/review/standins.py
@@ -30,6 +30,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit statuses of a case
+LONGEST_S = 118.0  # a case ends within 120 s
 CHANGES_KEPT = 10_000
 PAGE_ITEMS = 1000
 PAGE_BYTES = 512 * 1024
@@ -832,6 +833,11 @@
         stored = self.state.keys.get("hookwall/leader")
         return None if stored is None else stored[0].get("node")
 
+    def check_time_left(self, needed_s: float) -> None:
+        """Raise CaseError if the rest of the case, which takes `needed_s`, would end after two minutes."""
+        if self.record.now() + needed_s > LONGEST_S:
+            raise CaseError(f"no time left: {needed_s:.0f} s needed after {self.record.now():.0f} s")
+
     async def wait_until(self, condition: Callable[[], bool], within_s: float, what: str) -> None:
         """Wait for a condition; raise CaseError if it does not hold in time."""
         until = time.monotonic() + within_s
