Log what tells apart why a leader's writes are refused

The logs could not say whether the key changes again and again, whether the watch stands still, or whether memory holds a version that the store does not have any more, nor which request brought it there.

Change: the line about changed delegations names the known versions, the revision of the conflict and the revision that the watch has reached. Each observed state of a delegation is a line (version 0: deleted). The full reads name their revision, that of a new leader also the revision that the watch has reached by then.

--- a/hookwall/node/key_dispatch.py
+++ b/hookwall/node/key_dispatch.py
@@ -118,7 +118,7 @@
         self.progress.watched_revision = revision
         self.progress.loaded = True
         self._mark_records_read(sent_at)
-        log.info("read all records: jobs=%d", len(self.job_table.jobs))
+        log.info("read all records: jobs=%d revision=%d", len(self.job_table.jobs), revision)
 
     def confirm_current(self, as_of: float) -> None:
         """Record that everything stored before `as_of`, on this node's clock, has been applied."""
@@ -133,6 +133,7 @@
         self.job_table.invalidate_decisions()
         sent_at = self.clock()
         entries, revision = await self.store.scan(keys.ROOT)
+        log.info("records read for leadership: revision=%d watched=%d", revision, self.progress.watched_revision)
         self._drop_missing_delegations(entries)
         self.drains.load_for_leadership(entries)
         for key, value, version in entries:
--- a/hookwall/workers/delegated_leases.py
+++ b/hookwall/workers/delegated_leases.py
@@ -4,6 +4,7 @@
 ended without being observed, the lease of every machine counts as possibly renewed.
 """
 
+import logging
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -11,6 +12,8 @@
 from hookwall.workers.delegation_record import decode_machines
 from hookwall.workers.machine import DISTANT_PAST
 
+log = logging.getLogger(__name__)
+
 
 class Delegation(NamedTuple):
     """The stored key of one lease delegate. `machines` is None if the key may name any machine."""
@@ -52,6 +55,7 @@
             return
         previous = known.machines if known is not None else frozenset()
         machines = decode_machines(value) if version else frozenset()
+        log.info("lease delegation observed: key=%s version=%d", key, version)
         self._record_ended_delegations(previous, machines)
         if version:
             self.delegations[key] = Delegation(version, machines)
--- a/hookwall/workers/delegation_guard.py
+++ b/hookwall/workers/delegation_guard.py
@@ -53,7 +53,13 @@
         The watch delivers every value that a key has had, so this method waits for it. A read returns only the latest
         value, but leases of machines that an intermediate value named were renewed as well.
         """
-        log.info("lease delegations changed; unsaved decisions are void: keys=%s", ",".join(changed))
+        log.info(
+            "lease delegations changed; unsaved decisions are void: keys=%s known_versions=%s revision=%d watched=%d",
+            ",".join(changed),
+            ",".join(str(version) for _, version in self.delegated_leases.preconditions(changed)),
+            revision,
+            self.watched_revision(),
+        )
         if await self._wait_for_watch(revision):
             self.table.revert_unsaved()
             return
