Test: a delegation first written during a new leader's full read stays known

What callers would see is the same: the key that the watch had delivered was dropped, as the older full read lacked it, and each write was conditional on its absence from then on.

--- a/tests/cluster/test_full_reads.py
+++ b/tests/cluster/test_full_reads.py
@@ -54,11 +54,11 @@
     return keys.LEASE_DELEGATE_PREFIX + delegate
 
 
-@pytest.mark.parametrize("deleted", [True])
+@pytest.mark.parametrize("deleted", [True, False])
 def test_a_leader_stores_decisions_although_a_delegation_changed_during_its_full_read(deleted: bool):
     """Guards against a leader whose writes are all refused, as it relies on a state of the key that is over.
 
-    The key of a lease delegate is deleted while the full read of the new leader is under way.
+    The key of a lease delegate is deleted, or first written, while the full read of the new leader is under way.
     """
     delegated: list[bool] = []
 
