Order the reads of a lease delegate's key after a conflict

It takes a watch that is more than 0.5 s late and a read of the key that is answered after the watch has caught up.

Cause: after a refused write the leader waits 0.5 s for its watch, then reads the changed keys alone. The answer was applied whatever the watch had delivered meanwhile: a key that was deleted came back, and the 404 of a key that was first written meanwhile dropped it.

Fix: read_ordered. The store executes a read after everything that the node knew when it sent the request, so the answer counts as of that revision or of its own version, whichever is higher, and only if nothing newer was applied.

Evidence: the tests for a key that is deleted, or first written, while it is read alone, and for a full read that is older than a read of the key, failed on for the delegation and pass now.

--- a/hookwall/node/composition.py
+++ b/hookwall/node/composition.py
@@ -176,6 +176,7 @@
             self.fleet.delegated_leases,
             [keys.LEASE_DELEGATE_PREFIX + name for name in self.peer_names],
             self.clock,
+            self.key_order,
             watched_revision=lambda: self.watch_progress.watched_revision,
         )
 
--- a/hookwall/workers/delegation_guard.py
+++ b/hookwall/workers/delegation_guard.py
@@ -10,6 +10,7 @@
 from hookwall.jobs.job_table import JobTable
 from hookwall.storage.client import KeyValueClient
 from hookwall.storage.errors import OutcomeUnknownError, RequestRejectedError
+from hookwall.storage.key_order import KeyOrder, read_ordered
 from hookwall.workers.delegated_leases import DelegatedLeases
 
 log = logging.getLogger(__name__)
@@ -32,6 +33,7 @@
         delegated_leases: DelegatedLeases,
         delegation_keys: list[str],
         clock: Callable[[], float],
+        key_order: KeyOrder,
         watched_revision: Callable[[], int] = _no_watched_revision,
     ) -> None:
         """`watched_revision` returns the revision up to which the watch has delivered all changes."""
@@ -40,6 +42,7 @@
         self.delegated_leases = delegated_leases
         self.delegation_keys = delegation_keys
         self.clock = clock
+        self.key_order = key_order
         self.watched_revision = watched_revision
 
     def preconditions(self) -> list[tuple[str, int]]:
@@ -82,13 +85,15 @@
         return self.watched_revision() >= revision > 0
 
     async def _read_keys(self, changed: list[str]) -> None:
-        """Read the keys that the watch has not delivered in time."""
+        """Read the keys that the watch has not delivered in time. It may deliver them while the reads are under way."""
         for key in changed:
             try:
-                entry = await self.store.get(key)
+                stored = await read_ordered(self.store, self.key_order, key)
             except (RequestRejectedError, OutcomeUnknownError):
                 continue
-            if entry is not None:
-                self.delegated_leases.apply_key(key, *entry)
-            elif key in self.delegated_leases.delegations:
+            if stored is None:
+                continue
+            if stored.version:
+                self.delegated_leases.apply_key(key, stored.value, stored.version)
+            else:
                 self.delegated_leases.apply_deletion(key)
--- a/tests/jobs/test_job_writer.py
+++ b/tests/jobs/test_job_writer.py
@@ -19,6 +19,7 @@
 from hookwall.storage import keys
 from hookwall.storage.errors import OutcomeUnknownError, PreconditionFailedError
 from hookwall.storage.job_records import JobRecord, encode_record, json_bytes, usable_value_bytes
+from hookwall.storage.key_order import KeyOrder
 from hookwall.workers.delegated_leases import DelegatedLeases
 from hookwall.workers.delegation_guard import DelegationGuard
 
@@ -51,7 +52,7 @@
 def leader_writer(
     table: JobTable, store: ScriptedStore, clock: FakeClock, delegation_keys, leadership, **options
 ) -> JobWriter:
-    guard = DelegationGuard(table, store, DelegatedLeases(clock), delegation_keys, clock)
+    guard = DelegationGuard(table, store, DelegatedLeases(clock), delegation_keys, clock, KeyOrder(lambda: 0))
     return JobWriter(table, store, leadership, guard, no_reload, clock, **options)
 
 
--- a/tests/node/test_key_dispatch.py
+++ b/tests/node/test_key_dispatch.py
@@ -19,7 +19,7 @@
 from hookwall.config.platform import PlatformParameters
 from hookwall.node.node import Node
 from hookwall.storage import keys
-from hookwall.storage.entries import KeyValueEntry, ScanResult
+from hookwall.storage.entries import KeyValueEntry, ScanResult, StoredValue, VersionedValue
 
 GOLDEN = json.loads((Path(__file__).parents[1] / "golden" / "drains_1.json").read_text(encoding="utf-8"))
 DELEGATION = keys.LEASE_DELEGATE_PREFIX + "n1"
@@ -216,6 +216,105 @@
     run(scenario())
 
 
+# -- reads of a key alone ------------------------------------------------------------------------------
+
+
+class PendingKeyRead:
+    """A read of one key that the store has executed, and whose response arrives with `finish`."""
+
+    def __init__(self, node: Node, key: str, stored: VersionedValue) -> None:
+        self.response: asyncio.Future[VersionedValue] = asyncio.get_running_loop().create_future()
+
+        async def read(_key: str) -> VersionedValue:
+            return await self.response
+
+        async def get(_key: str) -> StoredValue | None:
+            current = await self.response
+            return StoredValue(current.value, current.version) if current.version else None
+
+        node.store.read, node.store.get = read, get
+        self.stored = stored
+        self.task = asyncio.ensure_future(_read_alone(node, key))
+
+    async def begin(self) -> "PendingKeyRead":
+        """Send the request."""
+        await asyncio.sleep(0)
+        return self
+
+    async def finish(self) -> None:
+        """Let the response arrive."""
+        self.response.set_result(self.stored)
+        await self.task
+
+
+async def _read_alone(node: Node, key: str) -> None:
+    """Read a key as its owner does after a write that failed on the key."""
+    if key.startswith(keys.LEASE_DELEGATE_PREFIX):
+        await node.delegation_guard._read_keys([key])
+    else:
+        await node.drains._require_controller().writer.reread([key])
+
+
+KEYS_READ_ALONE = [DELEGATION]
+
+
+@pytest.mark.parametrize("key", KEYS_READ_ALONE)
+def test_a_read_of_one_key_does_not_restore_it_if_it_was_deleted_meanwhile(node: Node, key: str):
+    """Guards against writes that are conditional on a version which no longer exists."""
+
+    async def scenario() -> None:
+        node.drains._require_controller()
+        deliver(node, 7)
+        read = await PendingKeyRead(node, key, VersionedValue(VALUES[key], 8, 8)).begin()
+        deliver(node, 11, entry(key, 8), (key, 11))
+        await read.finish()
+        assert known_version(node, key) == ABSENT
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("key", KEYS_READ_ALONE)
+def test_a_read_that_found_no_key_does_not_drop_one_that_was_first_written_meanwhile(node: Node, key: str):
+    """Guards against a leader that counts leases as expired, or a machine as free, although a newer key names it."""
+
+    async def scenario() -> None:
+        deliver(node, 7)
+        read = await PendingKeyRead(node, key, VersionedValue(None, ABSENT, 10)).begin()
+        deliver(node, 11, entry(key, 11))
+        await read.finish()
+        assert known_version(node, key) == 11
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("key", KEYS_READ_ALONE)
+def test_a_read_of_one_key_corrects_memory_although_the_key_is_older_than_the_watch(node: Node, key: str):
+    """Guards against ignoring too much: the store executes a read after everything that the node has seen before."""
+
+    async def scenario() -> None:
+        node.drains._require_controller()
+        deliver(node, 11)
+        await (await PendingKeyRead(node, key, VersionedValue(VALUES[key], 8, 8)).begin()).finish()
+        assert known_version(node, key) == 8
+        await (await PendingKeyRead(node, key, VersionedValue(None, ABSENT, 12)).begin()).finish()
+        assert known_version(node, key) == ABSENT
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("load", LOADS)
+@pytest.mark.parametrize("key", KEYS_READ_ALONE)
+def test_an_older_full_read_does_not_undo_a_read_of_one_key(node: Node, key: str, load: str):
+    async def scenario() -> None:
+        deliver(node, 8, entry(key, 8))
+        full_read = await begin_read(node, load, 9, entry(key, 8))
+        await (await PendingKeyRead(node, key, VersionedValue(None, ABSENT, 12)).begin()).finish()
+        await full_read.finish()
+        assert known_version(node, key) == ABSENT
+
+    run(scenario())
+
+
 # -- a leader that reads all keys again ----------------------------------------------------------------
 
 
