Order the reads of drains and steps after a conflict

What callers would see: a drain or a cordoned machine that was deleted while the leader read its key alone came back, so that the machine got no work until the next conflict; and an older full read could undo what the read had shown.

Cause: the answer to the read was applied whatever the watch had delivered meanwhile; a deleted drain or step leaves no version in memory.

Fix: read_ordered, as for the lease delegates' keys. The ledger's pages stay as they are: no other node writes them while this one leads, they are not watched, and the leader's cycle reads and writes them one after the other.

--- a/hookwall/drains/controller.py
+++ b/hookwall/drains/controller.py
@@ -35,6 +35,7 @@
 from hookwall.storage.client import KeyValueClient
 from hookwall.storage.entries import KeyValueEntry
 from hookwall.storage.errors import OutcomeUnknownError, PreconditionFailedError, RequestRejectedError
+from hookwall.storage.key_order import KeyOrder
 from hookwall.workers.fleet import Fleet
 from hookwall.workers.machine import MachinePhase
 
@@ -60,6 +61,7 @@
         scheduler: Scheduler,
         store: KeyValueClient,
         leadership: Leadership,
+        key_order: KeyOrder,
         clock: Callable[[], float],
         time_of_day: Callable[[], float],
         *,
@@ -79,7 +81,7 @@
         jobs = scheduler.table
         self.ledger = DisruptionLedger(settings.budgets, store.max_value_bytes, 2 * params.time_bound_ms / 1000)
         self.table = DrainTable(self.ledger)
-        self.writer = DrainWriter(self.table, self.ledger, store, leadership)
+        self.writer = DrainWriter(self.table, self.ledger, store, leadership, key_order)
         self.planning_view = PlanningView(jobs, fleet, scheduler, self.ledger)
         self.plan_builder = PlanBuilder(self.table, self.planning_view, scheduler, clock, time_of_day)
         self.disruptions = DisruptionRecorder(self.ledger, jobs, fleet, clock, time_of_day)
--- a/hookwall/drains/drain_writer.py
+++ b/hookwall/drains/drain_writer.py
@@ -1,7 +1,8 @@
 """The leader's conditional writes of drains.
 
 Invariant: the preconditions of every write include the leader key and the keys that it changes, and the copy in memory
-changes only after the write has succeeded.
+changes only after the write has succeeded. If the watch has delivered a newer change of the key by then, the copy keeps
+the newer state.
 """
 
 from collections.abc import Sequence
@@ -14,6 +15,7 @@
 from hookwall.storage import keys
 from hookwall.storage.client import KeyValueClient
 from hookwall.storage.entries import Precondition, Put
+from hookwall.storage.key_order import KeyOrder, read_ordered
 
 ABSENT = 0  # the version of a key that does not exist
 
@@ -26,12 +28,18 @@
     """
 
     def __init__(
-        self, table: DrainTable, ledger: DisruptionLedger, store: KeyValueClient, leadership: Leadership
+        self,
+        table: DrainTable,
+        ledger: DisruptionLedger,
+        store: KeyValueClient,
+        leadership: Leadership,
+        key_order: KeyOrder,
     ) -> None:
         """Create a writer that writes to `store` with the fencing token of `leadership`."""
         self.table = table
         self.store = store
         self.leadership = leadership
+        self.key_order = key_order
         self._ledger = ledger
 
     async def _commit(self, preconditions: list[Precondition], put: Sequence[Put], delete: Sequence[str] = ()) -> int:
@@ -114,15 +122,20 @@
     async def reread(self, changed_keys: Sequence[str]) -> None:
         """Read the keys again whose versions were not the expected ones."""
         for key in changed_keys:
-            if not drain_keys.is_drain_key(key):
-                continue
-            state = await self.store.read(key)
             if key.startswith(keys.DISRUPTION_PREFIX):
-                self._adopt_page_version(key, state.version)
-            elif state.version:
-                self.table.apply_key(key, state.value, state.version)
-            else:
-                self.table.apply_deletion(key, state.revision)
+                self._adopt_page_version(key, (await self.store.read(key)).version)
+            elif drain_keys.is_drain_key(key):
+                await self._reread_record(key)
+
+    async def _reread_record(self, key: str) -> None:
+        """Read a drain or a step again."""
+        stored = await read_ordered(self.store, self.key_order, key)
+        if stored is None:
+            return
+        if stored.version:
+            self.table.apply_key(key, stored.value, stored.version)
+        else:
+            self.table.apply_deletion(key, stored.revision)
 
     def _adopt_page_version(self, key: str, version: int) -> None:
         """Adopt the stored version of a page after a write without a response.
--- a/hookwall/node/composition.py
+++ b/hookwall/node/composition.py
@@ -254,6 +254,7 @@
             self.scheduler,
             self.store,
             self.leadership,
+            self.key_order,
             self.clock,
             self.time_of_day,
             drains_allowed=self.storage_version.allows_drains,
--- a/tests/drains/test_drain_controller.py
+++ b/tests/drains/test_drain_controller.py
@@ -65,7 +65,7 @@
         operations_settings = operations(grey=1)
         node.drains.controller = DrainController(
             operations_settings.drain, node.settings.platform, node.fleet, node.scheduler, self.store, node.leadership,
-            self.clock, self.clock, drains_allowed=lambda: True,
+            node.key_order, self.clock, self.clock, drains_allowed=lambda: True,
             is_confirmed_deleted=node.scale_out.is_confirmed_deleted,
         )  # fmt: skip
         node.fleet.set_catalog(_catalog())
--- a/tests/node/test_key_dispatch.py
+++ b/tests/node/test_key_dispatch.py
@@ -255,7 +255,7 @@
         await node.drains._require_controller().writer.reread([key])
 
 
-KEYS_READ_ALONE = [DELEGATION]
+KEYS_READ_ALONE = [DELEGATION, DRAIN, STEP]
 
 
 @pytest.mark.parametrize("key", KEYS_READ_ALONE)
