Order the answers to the leader's own writes of drains

What operators would see: an abort that the leader forgets. If the watch delivered the operator's change before the answer to the leader's own earlier write of the drain arrived, the older record replaced the newer one in memory, and the drain went on until the leader's next write of it was refused. A node that was deposed while it wrote a step kept a machine cordoned that the next leader had put back in service, or forgot a cordon of the next leader.

Cause: the copy in memory was replaced by whatever had been written, without a look at newer changes.

Fix: the answer counts as of the revision of the write, in the same order as reads and watched changes. Own writes are recorded, so a full read that is older does not undo them either.

--- a/hookwall/drains/drain_writer.py
+++ b/hookwall/drains/drain_writer.py
@@ -60,14 +60,15 @@
         """Replace a drain."""
         put = [Put(drain_keys.drain_key(name), records.encode(record))]
         version = await self._commit([self._drain_unchanged(name)], put)
-        self.table.set_drain(name, record, version)
+        self._set_drain(name, record, version)
 
     async def write_step(self, name: str, machine: str, record: StepRecord) -> None:
         """Replace or create a machine's step."""
         preconditions = [self._drain_unchanged(name), self._step_unchanged(machine)]
         put = [Put(drain_keys.step_key(machine), records.encode(record))]
         version = await self._commit(preconditions, put)
-        self.table.set_step(machine, record, version)
+        if self.key_order.admit(drain_keys.step_key(machine), version):
+            self.table.set_step(machine, record, version)
 
     async def remove_machines(self, name: str, machines: Sequence[str], record: DrainRecord) -> None:
         """Replace a drain by `record`, which is without these machines, and delete the machines' steps."""
@@ -76,17 +77,27 @@
         preconditions = [self._drain_unchanged(name), *map(self._step_unchanged, steps)]
         put = [Put(drain_keys.drain_key(name), records.encode(record))]
         version = await self._commit(preconditions, put, [drain_keys.step_key(machine) for machine in steps])
-        self.table.set_drain(name, record, version)
+        self._set_drain(name, record, version)
         for machine in steps:
-            self.table.remove_step(machine)
+            self._remove_step(machine, version)
 
     async def uncordon(self, name: str, machine: str) -> None:
         """Delete a machine's step, which puts the machine back in service. The drain itself may have been deleted."""
         preconditions = [self._step_unchanged(machine)]
         if name in self.table.drains:
             preconditions.append(self._drain_unchanged(name))
-        await self._commit(preconditions, [], [drain_keys.step_key(machine)])
-        self.table.remove_step(machine)
+        revision = await self._commit(preconditions, [], [drain_keys.step_key(machine)])
+        self._remove_step(machine, revision)
+
+    def _set_drain(self, name: str, record: DrainRecord, version: int) -> None:
+        """Apply a drain that was written, unless a newer state of it is known."""
+        if self.key_order.admit(drain_keys.drain_key(name), version):
+            self.table.set_drain(name, record, version)
+
+    def _remove_step(self, machine: str, revision: int) -> None:
+        """Apply the deletion of a step, unless a newer state of it is known."""
+        if self.key_order.admit(drain_keys.step_key(machine), revision):
+            self.table.remove_step(machine)
 
     async def write_ledger(self) -> None:
         """Store the changed pages of the ledger, as many in each transaction as the store allows."""
--- a/tests/node/test_key_dispatch.py
+++ b/tests/node/test_key_dispatch.py
@@ -17,6 +17,8 @@
 from harness.leading_node import make_leader, unstarted_node
 
 from hookwall.config.platform import PlatformParameters
+from hookwall.drains.drain_writer import DrainWriter
+from hookwall.drains.records import DrainPhase, StepRecord, decode
 from hookwall.node.node import Node
 from hookwall.storage import keys
 from hookwall.storage.entries import KeyValueEntry, ScanResult, StoredValue, VersionedValue
@@ -315,6 +317,83 @@
     run(scenario())
 
 
+# -- own writes of the leader ----------------------------------------------------------------------------
+
+
+def answer_after(node: Node, revision: int, *later: KeyValueEntry | tuple[str, int]) -> None:
+    """Execute the next transaction at `revision`; the watch delivers `later` changes before its response arrives."""
+
+    async def commit(*_args: Any, **_options: Any) -> int:
+        deliver(node, later[-1][-1], *later)
+        return revision
+
+    node.store.commit = commit
+
+
+def drain_writer(node: Node) -> DrainWriter:
+    """The writer of a leader that knows a drain with one step, both of version 8."""
+    writer = node.drains._require_controller().writer
+    deliver(node, 8, entry(DRAIN, 8), entry(STEP, 8))
+    return writer
+
+
+def test_the_answer_to_an_own_write_does_not_undo_a_newer_change_of_the_drain(node: Node):
+    """Guards against an operator's abort that the leader forgets, as its own earlier write is answered later."""
+
+    async def scenario() -> None:
+        writer = drain_writer(node)
+        record = writer.table.drains["kernel"].record
+        aborted = KeyValueEntry(DRAIN, {**VALUES[DRAIN], "phase": "aborted"}, 11)
+        answer_after(node, 10, entry(DRAIN, 10), aborted)
+        await writer.write_drain("kernel", record)
+        assert writer.table.drains["kernel"].record.phase is DrainPhase.ABORTED
+
+    run(scenario())
+
+
+def test_the_answer_to_an_own_write_does_not_restore_a_step_that_was_deleted_since(node: Node):
+    """Guards against a machine that stays cordoned on a node which was deposed while it wrote the step."""
+
+    async def scenario() -> None:
+        writer = drain_writer(node)
+        answer_after(node, 10, entry(STEP, 10), (STEP, 11))
+        await writer.write_step("kernel", "vm-000002", writer.table.steps["vm-000002"].record)
+        assert known_version(node, STEP) == ABSENT and not node.fleet.cordoned
+
+    run(scenario())
+
+
+def test_the_answer_to_an_own_deletion_does_not_remove_a_step_that_was_written_since(node: Node):
+    """Guards against new work on a machine that the next leader has cordoned."""
+
+    async def scenario() -> None:
+        writer = drain_writer(node)
+        answer_after(node, 10, (STEP, 10), entry(STEP, 11))
+        await writer.uncordon("kernel", "vm-000002")
+        assert known_version(node, STEP) == 11 and node.fleet.cordoned == {"vm-000002"}
+
+    run(scenario())
+
+
+def test_a_full_read_does_not_undo_an_own_write_that_it_does_not_contain(node: Node):
+    """Guards against new work on a machine that this leader has cordoned while its watch read all keys again."""
+
+    async def scenario() -> None:
+        writer = drain_writer(node)
+        deliver(node, 9, (STEP, 9))
+        read = await begin_read(node, "read_all", 10, entry(DRAIN, 8))
+
+        async def commit(*_args: Any, **_options: Any) -> int:
+            return 11
+
+        node.store.commit = commit
+        await writer.write_step("kernel", "vm-000002", decode(VALUES[STEP], StepRecord))
+        await read.finish()
+        assert known_version(node, STEP) == 11 and node.fleet.cordoned == {"vm-000002"}
+
+    run(scenario())
+
+
 # -- a leader that reads all keys again ----------------------------------------------------------------
 
 
