Keep a newer catalog when an own one could not be stored

What callers would see: a follower that judges submissions by machine types that are no longer offered, until the catalog changes once more.

Cause: publish_catalog uses the cloud's catalog, writes it, and goes back to the previous one if the write fails. A leader that was deposed meanwhile gets the next leader's catalog from its watch before that, and undid it.

Fix: it goes back only if the catalog in use is still its own.

Evidence: test_a_catalog_that_could_not_be_stored_does_not_undo_a_newer_one failed before (16 CPUs of the oldest catalog instead of 64) and passes now; a second test keeps that a catalog which could not be stored is written again.

--- a/hookwall/node/key_dispatch.py
+++ b/hookwall/node/key_dispatch.py
@@ -227,7 +227,8 @@
             await self.store.commit([precondition], [(keys.CATALOG_KEY, msgspec.to_builtins(catalog))])
         except (PreconditionFailedError, RequestRejectedError, OutcomeUnknownError) as error:
             log.info("catalog not stored: error=%s", type(error).__name__)
-            self.job_service.catalog = previous_catalog
+            if self.job_service.catalog is catalog:  # otherwise the watch has delivered a newer one
+                self.job_service.catalog = previous_catalog
 
 
 def _capacities(catalog: Catalog) -> list[tuple[object, ...]]:
--- a/tests/node/test_key_dispatch.py
+++ b/tests/node/test_key_dispatch.py
@@ -20,8 +20,11 @@
 from hookwall.drains.drain_writer import DrainWriter
 from hookwall.drains.records import DrainPhase, StepRecord, decode
 from hookwall.node.node import Node
+from hookwall.protocol import json_messages
+from hookwall.protocol.cloud_messages import Catalog
 from hookwall.storage import keys
 from hookwall.storage.entries import KeyValueEntry, ScanResult, StoredValue, VersionedValue
+from hookwall.storage.errors import OutcomeUnknownError, PreconditionFailedError
 
 GOLDEN = json.loads((Path(__file__).parents[1] / "golden" / "drains_1.json").read_text(encoding="utf-8"))
 DELEGATION = keys.LEASE_DELEGATE_PREFIX + "n1"
@@ -218,6 +221,40 @@
     run(scenario())
 
 
+def test_a_catalog_that_could_not_be_stored_does_not_undo_a_newer_one(node: Node):
+    """Guards against a deposed leader that goes back to the catalog from before its own, rejected write."""
+
+    async def scenario() -> None:
+        deliver(node, 8, KeyValueEntry(keys.CATALOG_KEY, catalog(16), 8))
+
+        async def commit(*_args: Any, **_options: Any) -> int:
+            deliver(node, 11, KeyValueEntry(keys.CATALOG_KEY, catalog(64), 11))
+            raise PreconditionFailedError([keys.LEADER_KEY], 11)
+
+        node.store.commit = commit
+        await node.key_dispatcher.publish_catalog(json_messages.convert_message(catalog(32), Catalog))
+        assert node.job_service.catalog.types[0].cpus == 64
+
+    run(scenario())
+
+
+def test_a_catalog_that_could_not_be_stored_is_published_again(node: Node):
+    async def scenario() -> None:
+        deliver(node, 8, KeyValueEntry(keys.CATALOG_KEY, catalog(16), 8))
+        written: list[object] = []
+
+        async def commit(_preconditions: Any, put: Any, **_options: Any) -> int:
+            written.append(put)
+            raise OutcomeUnknownError("no response")
+
+        node.store.commit = commit
+        for _ in range(2):
+            await node.key_dispatcher.publish_catalog(json_messages.convert_message(catalog(32), Catalog))
+        assert len(written) == 2
+
+    run(scenario())
+
+
 # -- reads of a key alone ------------------------------------------------------------------------------
 
 
