End by itself the state in which a leader's writes are all refused

Change: jobs/write_stall counts the transactions that were refused since the last one that was executed. After 5 s the leader reads all keys again, which corrects memory, after 15 s it resigns: it steps down, removes its key, releases its quorum leases and is no candidate for 4 s. Both are logged as errors, as is the end of a stall. What the store rejects in an outage doesn't count.

Evidence: test_a_leader_whose_writes_are_all_refused_recovers_by_itself puts a delegation that does not exist into a leader's memory, once or again and again; without the remedies the job does not run in either case. Found on the way: to step down, or to remove the key alone, is not enough, since the other nodes' quorum leases bind for up to 4.5 s and the same node is elected again; both were seen in the test. Two tests set the writer's reload function where it is now.

--- a/hookwall/jobs/job_writer.py
+++ b/hookwall/jobs/job_writer.py
@@ -7,10 +7,11 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Sequence
-from typing import Protocol
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 from hookwall.jobs.chunked_commit import ChunkGuard, commit_with_chunks
+from hookwall.jobs.conflict_resolution import ConflictResolver, DelegationPreconditions
 from hookwall.jobs.job import OPEN, Job, jobs_to_write
 from hookwall.jobs.job_table import JobTable
 from hookwall.jobs.leadership_view import LeadershipView
@@ -42,16 +43,12 @@
 PACKED_SIZE_RATIO = 0.5  # upper bound of the ratio of packed to plain size; packed records typically have 0.3 to 0.45
 
 
-class DelegationPreconditions(Protocol):
-    """The writer's view of the keys of the lease delegates, on which its decisions depend."""
+class WriteOutcome(NamedTuple):
+    """The outcome of one transaction: the version of its records, or 0 and whether the store has refused it."""
 
-    delegation_keys: list[str]
-
-    def preconditions(self) -> Sequence[tuple[str, int]]:
-        """The keys with the versions that are known here."""
-
-    async def handle_changed_keys(self, changed: list[str], revision: int) -> None:
-        """Handle the failure of a write because these keys had changed, at `revision` or earlier."""
+    version: int = 0
+    conflict: PreconditionFailedError | None = None
+    too_large: bool = False
 
 
 def _packing_disabled() -> bool:
@@ -59,8 +56,8 @@
     return False
 
 
-def _ignore_stored_decisions() -> None:
-    """Do nothing; the default callback for stored decisions."""
+def _no_action() -> None:
+    """Do nothing; the default callback."""
 
 
 class JobWriter:
@@ -75,21 +72,23 @@
         reload_record: Callable[[str], Awaitable[None]],
         clock: Callable[[], float],
         packing_enabled: Callable[[], bool] = _packing_disabled,
-        on_decisions_stored: Callable[[], None] = _ignore_stored_decisions,
+        on_decisions_stored: Callable[[], None] = _no_action,
+        request_full_read: Callable[[], None] = _no_action,
     ) -> None:
         """Write the jobs of `table` to `store`.
 
         `reload_record` reads the record of a key again; `packing_enabled` returns whether all nodes can read packed
-        records; `on_decisions_stored` is called after each successful write.
+        records; `on_decisions_stored` is called after each successful write; `request_full_read` lets the watch read
+        all keys again.
         """
         self.table = table
         self.store = store
         self.leadership = leadership
         self.delegation_guard = delegation_guard
-        self.reload_record = reload_record
         self.clock = clock
         self.packing_enabled = packing_enabled
         self.on_decisions_stored = on_decisions_stored
+        self.conflicts = ConflictResolver(leadership, delegation_guard, reload_record, request_full_read, clock)
         self.chunk_collector = ChunkCollector(table, store, leadership, clock)
         self.write_requested = asyncio.Event()
         self._single_job_writes_until: float | None = None
@@ -181,28 +180,37 @@
         """Write the first of these jobs in one transaction, and process its outcome."""
         fencing_token = self.leadership.fencing_token
         batch = self._begin_batch(jobs)
-        version = 0
-        conflict: PreconditionFailedError | None = None
+        outcome = await self._try_commit(fencing_token, batch) if batch else WriteOutcome()
+        still_leader = self.leadership.fencing_token == fencing_token and self.leadership.role is Role.LEADER
+        for write in batch:
+            self._finish(write, outcome.version, still_leader)
+        if still_leader:
+            await self._follow_up(outcome)
+
+    async def _try_commit(self, fencing_token: int, batch: list[PendingWrite]) -> WriteOutcome:
+        """Write the records of a batch, and return the outcome."""
         try:
-            if batch:
-                version = await self._commit(fencing_token, batch)
+            return WriteOutcome(await self._commit(fencing_token, batch))
         except PreconditionFailedError as error:
-            conflict = error
+            return WriteOutcome(conflict=error)
         except RequestTooLargeError as error:
             log.info("transaction too large: jobs=%d error=%s", len(batch), error)
             self._single_job_writes_until = self.clock() + SINGLE_JOB_WRITES_S
+            return WriteOutcome(too_large=True)
         except (RequestRejectedError, OutcomeUnknownError) as error:
             log.debug("transaction not confirmed: jobs=%d error=%s", len(batch), error)
-        still_leader = self.leadership.fencing_token == fencing_token and self.leadership.role is Role.LEADER
-        for write in batch:
-            self._finish(write, version, still_leader)
-        if not still_leader:
-            return
-        if conflict is not None:
-            await self._resolve_conflict(conflict)
-        elif version:
+            return WriteOutcome()
+
+    async def _follow_up(self, outcome: WriteOutcome) -> None:
+        """Act on the outcome of a transaction of the present leadership."""
+        if outcome.conflict is not None:
+            await self.conflicts.resolve(outcome.conflict)
+        elif outcome.version:
+            self.conflicts.record_success()
             self.on_decisions_stored()
         else:
+            if outcome.too_large:
+                await self.conflicts.handle_refusal([])
             await asyncio.sleep(RETRY_DELAY_S)
 
     async def _commit(self, fencing_token: int, batch: list[PendingWrite]) -> int:
@@ -258,27 +266,6 @@
         if revert:
             self.table.revert_job(job)
 
-    # -- conflicts and unreadable records ----------------------------------------------------------
-
-    async def _resolve_conflict(self, conflict: PreconditionFailedError) -> None:
-        """Update this node's knowledge of the keys whose preconditions failed; step down if the leader key is one."""
-        if keys.LEADER_KEY in conflict.keys:
-            self.leadership.step_down("write rejected: the leader key has changed")
-            return
-        delegation_keys = [key for key in conflict.keys if key in self.delegation_guard.delegation_keys]
-        if delegation_keys:
-            await self.delegation_guard.handle_changed_keys(delegation_keys, conflict.revision)
-        for key in conflict.keys:
-            if key.startswith(keys.JOB_PREFIX):
-                await self._try_reload(key)
-
     async def _reload_unreadable(self) -> None:
         """Reload one record whose chunks are missing. None of its job's tasks is started until they are available."""
-        await self._try_reload(keys.JOB_PREFIX + self.table.chunks.next_unreadable_job())
-
-    async def _try_reload(self, key: str) -> None:
-        """Reload a record. If it can't be read, its known state is kept."""
-        try:
-            await self.reload_record(key)
-        except (RequestRejectedError, OutcomeUnknownError) as error:
-            log.debug("job record not reloaded: job=%s error=%s", key[len(keys.JOB_PREFIX) :], error)
+        await self.conflicts.try_reload(keys.JOB_PREFIX + self.table.chunks.next_unreadable_job())
--- a/hookwall/jobs/leadership_view.py
+++ b/hookwall/jobs/leadership_view.py
@@ -36,6 +36,9 @@
     def step_down(self, reason: str) -> None:
         """Stop leading, for the given reason."""
 
+    async def resign(self, reason: str) -> None:
+        """Stop leading, for the given reason, and leave the leadership to another node if there is one."""
+
 
 class PeerLeadershipView(LeadershipView, Protocol):
     """A `LeadershipView` with the quorum of the nodes and messages to peers."""
--- a/hookwall/leadership/leadership.py
+++ b/hookwall/leadership/leadership.py
@@ -72,6 +72,10 @@
         """Return the response to a peer's message, both in wire format."""
         return self.peer_handler.handle(encoded)
 
+    async def resign(self, reason: str) -> None:
+        """Stop leading, for the given reason, and leave the leadership to another node if there is one."""
+        await self.leadership_transfer.resign(reason)
+
     def call_all_peers(self, message: PeerMessage, timeout_s: float) -> list[asyncio.Task[PeerResponse | None]]:
         """Send a message to all peers; return one task for each, whose result is the response or None."""
         return self.peer_group.call_all(message, timeout_s)
--- a/hookwall/leadership/leadership_transfer.py
+++ b/hookwall/leadership/leadership_transfer.py
@@ -24,7 +24,7 @@
 STORE_FAILURE_TRANSFER_S = 2.5  # a leader without the store for this time looks for a peer that can reach it
 NO_WORKER_HEARTBEAT_S = 4.0  # a leader without worker heartbeats for this time looks for a peer that workers reach
 QUORUM_STABLE_S = 5.0  # a leader by session lease removes its key once a quorum has responded for this time
-TRANSFER_BACKOFF_S = 4.0  # until the next election of a leader that transferred its leadership
+TRANSFER_BACKOFF_S = 4.0  # until the next election of a leader that transferred its leadership or resigned
 
 
 class LeadershipTransfer:
@@ -58,6 +58,16 @@
         state = self._state
         state.step_down(f"leadership transfer to {successor}: {reason}")
         state.next_election_at = state.clock() + TRANSFER_BACKOFF_S
+        self._release_quorum_leases(successor)
+
+    async def resign(self, reason: str) -> None:
+        """Step down, and let any other node be elected before this node is a candidate again."""
+        await self._remove_leader_key(reason, backoff_s=TRANSFER_BACKOFF_S)
+        self._release_quorum_leases()
+
+    def _release_quorum_leases(self, successor: str | None = None) -> None:
+        """Announce that this node, which has stepped down, needs its quorum leases no longer."""
+        state = self._state
         self._peers.broadcast(
             PeerMessage(
                 kind=MessageKind.RELEASE_VOTE,
--- a/hookwall/node/composition.py
+++ b/hookwall/node/composition.py
@@ -190,6 +190,7 @@
             self.clock,
             packing_enabled=self.storage_version.allows_dependencies,
             on_decisions_stored=self.round_requested.set,
+            request_full_read=self.watch_progress.request_full_read,
         )
 
     def _build_job_service(self) -> JobService:
--- a/hookwall/node/key_dispatch.py
+++ b/hookwall/node/key_dispatch.py
@@ -142,8 +142,7 @@
         self._apply_entries(entries, revision)
         if all(key != keys.LEADER_KEY for key, _, _ in entries):
             self.leadership.observe_leader_key({}, 0, revision)
-        self.progress.watched_revision = revision
-        self.progress.loaded = True
+        self.progress.complete_full_read(revision)
         self.key_order.discard_completed()
         self._mark_records_read(sent_at)
         log.info("read all records: jobs=%d revision=%d", len(self.job_table.jobs), revision)
--- a/hookwall/storage/watch.py
+++ b/hookwall/storage/watch.py
@@ -26,7 +26,7 @@
     """The interface of the component that applies the watched keys."""
 
     async def read_all(self) -> None:
-        """Read and apply every key, and set `watched_revision` and `loaded` of the progress."""
+        """Read and apply every key, and complete the full read of the progress."""
 
     def apply_key(self, key: str, value: object, version: int) -> None:
         """Apply a key that was set."""
@@ -49,11 +49,27 @@
         loaded: whether all keys have been read since the last gap.
         watched_revision: the revision up to which the watch has passed all changes to the observer.
         scanned_revision: the revision of the last full read that this node made as a new leader.
+        full_read_requested: whether all keys are to be read again although no change was missed.
     """
 
     loaded: bool = False
     watched_revision: int = 0
     scanned_revision: int = 0
+    full_read_requested: bool = False
+
+    def request_full_read(self) -> None:
+        """Let the watch read all keys again before it passes further changes."""
+        self.full_read_requested = True
+
+    def needs_full_read(self) -> bool:
+        """Whether the watch has to read all keys before it passes further changes."""
+        return self.full_read_requested or not self.loaded
+
+    def complete_full_read(self, revision: int) -> None:
+        """Record that all keys have been read and applied as of `revision`."""
+        self.watched_revision = revision
+        self.loaded = True
+        self.full_read_requested = False
 
     def known_revision(self) -> int:
         """The revision up to which this node has read the records."""
@@ -76,7 +92,7 @@
         """Pass every change to the observer until the task is cancelled."""
         while True:
             try:
-                if not self.progress.loaded:
+                if self.progress.needs_full_read():
                     await self.observer.read_all()
                 await self._apply_next_changes()
                 await asyncio.sleep(LEADER_PAUSE_S if self.observer.is_leader() else FOLLOWER_PAUSE_S)
--- a/tests/cluster/test_full_reads.py
+++ b/tests/cluster/test_full_reads.py
@@ -1,5 +1,6 @@
-"""Keys that change while a new leader reads all records (docs/incidents/deleted-key-restored.md).
+"""Leaders that know a wrong state of a key (docs/incidents/deleted-key-restored.md).
 
+Keys change while a new leader reads all records, and a state that is wrong for whatever reason has to end by itself.
 The order of the events is brought about: the store executes the full read of the new leader, a key changes, the watch
 of the leader delivers the change, and only then the response to the full read arrives.
 """
@@ -11,8 +12,10 @@
 from harness.play import play
 from harness.simulation import Simulation
 
+from hookwall.jobs.write_stall import RESIGN_AFTER_S
 from hookwall.leadership.roles import Role
 from hookwall.storage import keys
+from hookwall.workers.delegated_leases import Delegation
 
 FIRST_START_S = 15.0  # for a job that is submitted to a new leader beside machines that are free
 SESSION_LEASE_S = 60.0  # longer than each scenario
@@ -91,3 +94,32 @@
 
     play(scenario)
     assert delegated == [not deleted], "the leader does not know the newest state of the key"
+
+
+@pytest.mark.parametrize("lasting", [False, True])
+def test_a_leader_whose_writes_are_all_refused_recovers_by_itself(lasting: bool, caplog: pytest.LogCaptureFixture):
+    """Guards against a leader that stores nothing until it is replaced, whatever made its memory wrong.
+
+    A delegation that does not exist is put into the leader's memory, once or again and again. In the first case a full
+    read corrects it; in the second one another node has to lead.
+    """
+
+    async def scenario(simulation: Simulation) -> None:
+        leader = simulation.current_leader_name()
+        key = keys.LEASE_DELEGATE_PREFIX + next(name for name in simulation.names if name != leader)
+        delegations = simulation.nodes[leader].fleet.delegated_leases.delegations
+
+        def restore_key() -> None:
+            delegations[key] = Delegation(simulation.store.revision, frozenset())
+
+        restore_key()
+        if lasting:
+            simulation.on_step.append(restore_key)
+        job_id = simulation.define_job(1)
+        await simulation.submit_until_accepted(job_id, node=simulation.followers()[0])
+        await simulation.wait_until_running(job_id, RESIGN_AFTER_S + FIRST_START_S)
+        assert (simulation.current_leader_name() != leader) == lasting
+
+    play(scenario)
+    remedies = [line.rpartition("remedy=")[2] for line in caplog.messages if line.startswith("leader stores nothing")]
+    assert remedies == (["'full read'", "'resign'"] if lasting else ["'full read'"])
--- a/tests/jobs/test_job_writer.py
+++ b/tests/jobs/test_job_writer.py
@@ -233,7 +233,7 @@
             async with asyncio.timeout(0.3):
                 await leading_writer.run()
 
-    leading_writer.reload_record = refresh
+    leading_writer.conflicts.reload_record = refresh
     leading_writer.table.jobs["run-000002"].has_unsaved_changes = False
     leading_writer.table.chunks.keep_unreadable_record("run-000002", {}, 12)
     asyncio.run(run())
@@ -248,7 +248,7 @@
         reloaded.append(key)
         raise OutcomeUnknownError("chunks of the job record are missing")
 
-    writer.reload_record = refresh
+    writer.conflicts.reload_record = refresh
     for n in (1, 2, 3):
         writer.table.chunks.keep_unreadable_record(f"run-{n:06d}", {"packed": {"fixed": ["gone"], "state": "x"}}, 20)
 
