One definition of the distant past and of the rounding tolerance; no modules that only pass on names

DISTANT_PAST stood in two modules with one value and one sense, the tolerance for shares in three; tests/leading_node.py and tests/production.py only passed on names of the harness; a test escaped a format by hand; two tests of storage versions had the same set-up.

Change: DISTANT_PAST is in config/clock_bounds, drains use workers/resources.ROUNDING_TOLERANCE (the solver's other value is SOLVER_TOLERANCE), importers name the harness, re.escape, one function for the set-up. No value and no assertion changes. leadership/instants keeps its infinite instants: some of its times are compared with deadlines in the future.

--- a/hookwall/drains/disruption_ledger.py
+++ b/hookwall/drains/disruption_ledger.py
@@ -12,11 +12,11 @@
 
 from hookwall.config.operations import DisruptionBudget
 from hookwall.drains.records import Disruption, DisruptionPage
+from hookwall.workers.resources import ROUNDING_TOLERANCE
 
 ENTRY_BYTES = 72  # size of an entry in JSON: a job's id, a team's name and three numbers
 MIN_PAGE_ENTRIES = 8
 MAX_PAGE_ENTRIES = 200
-ROUNDING_TOLERANCE = 1e-9  # a share of 0.1 of 30 jobs is 3, regardless of floating-point error
 
 
 def allowed_disruptions(budget: DisruptionBudget, running_jobs: int) -> int:
@@ -28,6 +28,7 @@
     if budget.jobs is not None:
         limits.append(budget.jobs)
     if budget.share is not None:
+        # A share of 0.1 of 30 jobs is 3, regardless of floating-point error.
         limits.append(max(1, int(budget.share * running_jobs + ROUNDING_TOLERANCE)) if budget.share > 0 else 0)
     return min(limits)
 
--- a/hookwall/drains/lower_bound.py
+++ b/hookwall/drains/lower_bound.py
@@ -17,7 +17,7 @@
     from ortools.sat.python import cp_model
 
 SOLVER_TIMEOUT_S = 10.0
-ROUNDING_TOLERANCE = 1e-6  # for the bound that the solver returns
+SOLVER_TOLERANCE = 1e-6  # for the bound that the solver returns
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,4 +144,4 @@
         return WaveLowerBound(round(solver.objective_value), True)
     if status == cp_model.INFEASIBLE:
         raise TooFewWavesError(f"{max_waves} waves are not enough")
-    return WaveLowerBound(max(1, math.ceil(solver.best_objective_bound - ROUNDING_TOLERANCE)), False)
+    return WaveLowerBound(max(1, math.ceil(solver.best_objective_bound - SOLVER_TOLERANCE)), False)
--- a/hookwall/drains/request.py
+++ b/hookwall/drains/request.py
@@ -13,10 +13,10 @@
 from hookwall.drains.errors import InvalidDrainRequestError
 from hookwall.drains.records import DeadlinePolicy, DrainPhase, DrainRecord, EmptyMachinePolicy
 from hookwall.workers import name_codec
+from hookwall.workers.resources import ROUNDING_TOLERANCE
 
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}", re.ASCII)
 MAX_NAMES_SHOWN = 8  # how many allowed values a message lists
-ROUNDING_TOLERANCE = 1e-9  # a share of 0.1 of 30 machines is 3, regardless of floating-point error
 
 
 class Selection(msgspec.Struct, frozen=True, kw_only=True):
@@ -133,7 +133,7 @@
 
 
 def _share_of(count: int, share: float | None) -> int:
-    """How many of `count` machines a share is, rounded up; all of them without a share."""
+    """How many of `count` machines a share is, rounded up: 0.1 of 30 is 3. All of them without a share."""
     return count if share is None else math.ceil(share * count - ROUNDING_TOLERANCE)
 
 
--- a/hookwall/jobs/allocation.py
+++ b/hookwall/jobs/allocation.py
@@ -6,7 +6,8 @@
 
 from typing import NamedTuple
 
-DISTANT_PAST = -1e9  # seconds on the node's clock; earlier than any event
+from hookwall.config.clock_bounds import DISTANT_PAST
+
 NOT_RUNNING = -1.0  # value of `Allocation.running_since` until the worker reports that the task runs
 
 
--- a/hookwall/jobs/cancellations.py
+++ b/hookwall/jobs/cancellations.py
@@ -25,9 +25,8 @@
 import logging
 from collections.abc import Callable
 
-from hookwall.config.clock_bounds import MAX_CLOCK_DRIFT
+from hookwall.config.clock_bounds import DISTANT_PAST, MAX_CLOCK_DRIFT
 from hookwall.config.platform import WorkerTimings
-from hookwall.jobs.allocation import DISTANT_PAST
 from hookwall.jobs.leadership_view import PeerLeadershipView
 from hookwall.leadership.roles import LeaseMode
 from hookwall.protocol.peer_messages import KnownCancellations, MessageKind, PeerMessage
--- a/hookwall/jobs/job.py
+++ b/hookwall/jobs/job.py
@@ -11,13 +11,14 @@
 
 from collections.abc import Iterable
 
-from hookwall.jobs.allocation import DISTANT_PAST, Allocation, StoredStart
+from hookwall.config.clock_bounds import DISTANT_PAST
+from hookwall.jobs.allocation import Allocation, StoredStart
 from hookwall.protocol.job_messages import JobSpec
 from hookwall.storage.entries import StoredValue
 from hookwall.storage.job_records import JobRecord, StoredAllocation
 from hookwall.storage.task_ranges import decode_ranges, encode_ranges
 
-__all__ = ["CANCELLED", "DISTANT_PAST", "DONE", "OPEN", "Allocation", "Job", "StoredStart", "jobs_to_write"]
+__all__ = ["CANCELLED", "DONE", "OPEN", "Allocation", "Job", "StoredStart", "jobs_to_write"]
 
 OPEN = "open"
 DONE = "done"
--- a/hookwall/workers/delegated_leases.py
+++ b/hookwall/workers/delegated_leases.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from hookwall.config.clock_bounds import DISTANT_PAST
 from hookwall.storage.entries import Precondition
 from hookwall.workers.delegation_record import decode_machines
-from hookwall.workers.machine import DISTANT_PAST
 
 log = logging.getLogger(__name__)
 
--- a/hookwall/workers/machine.py
+++ b/hookwall/workers/machine.py
@@ -7,14 +7,12 @@
 from enum import Enum
 from typing import NamedTuple
 
+from hookwall.config.clock_bounds import DISTANT_PAST
 from hookwall.jobs.allocation import Allocation
 from hookwall.jobs.job import Job
 from hookwall.protocol.heartbeat_messages import TaskId
 from hookwall.workers.resources import FreeCapacity
 
-# Earlier than any time of the clock. Stands for an event that has not happened, in fields that hot paths compare.
-DISTANT_PAST = -1e9
-
 
 class NameIndex:
     """Dense indices of names, in the order in which the names first appeared."""
--- a/hookwall/workers/resources.py
+++ b/hookwall/workers/resources.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 CAPACITY_TOLERANCE = 1e-6  # tolerance for free capacity, in which rounding errors accumulate
-ROUNDING_TOLERANCE = 1e-9  # tolerance for values that are compared as configured
+ROUNDING_TOLERANCE = 1e-9  # for values that are compared as configured, and shares of counts that are rounded
 UNKNOWN_ZONE = -1  # the zone of a machine that only job records name
 
 
--- a/tests/drains/test_drain_controller.py
+++ b/tests/drains/test_drain_controller.py
@@ -5,7 +5,7 @@
 import pytest
 from conftest import FakeClock, ScriptedStore
 from harness.drain_simulation import TEAMS, operations
-from leading_node import leading, report
+from harness.leading_node import leading, report
 from test_drain_ledger import PERIOD_S
 
 from hookwall.config.platform import PlatformParameters
--- a/tests/storage/test_compatibility.py
+++ b/tests/storage/test_compatibility.py
@@ -9,7 +9,7 @@
 import msgspec
 import pytest
 from conftest import FakeClock, ScriptedStore, description
-from production import misread
+from harness.older_versions import misread
 
 from hookwall.jobs.job_table import JobTable
 from hookwall.leadership.leadership import Leadership
@@ -102,15 +102,21 @@
     assert GOLDEN_1["hire"] == "hw-41-3"
 
 
-@pytest.mark.parametrize("kind", sorted(GOLDEN_1["messages"]))
-def test_responses_to_version_1_messages_are_readable_by_version_1(kind, clock: FakeClock, store: ScriptedStore):
+def responding_leadership(clock: FakeClock, store: ScriptedStore, local_status: PeerStatus) -> Leadership:
+    """Return the leadership of a node that may grant votes and has something to report in each response."""
     store.last_response_at = clock()
     leadership = Leadership("n1", 3, [], store, clock, None, lambda role: None)
-    leadership.exchange.local_status = lambda: PeerStatus(2, False)
+    leadership.exchange.local_status = lambda: local_status
     leadership.exchange.rate_demand = lambda: [1.0, 1.0]
     leadership.exchange.on_cancellations_announced = lambda jobs: False
     leadership.exchange.known_cancellations = lambda revision: KnownCancellations([("run-000003", 12)], True)
     clock.advance(6.0)
+    return leadership
+
+
+@pytest.mark.parametrize("kind", sorted(GOLDEN_1["messages"]))
+def test_responses_to_version_1_messages_are_readable_by_version_1(kind, clock: FakeClock, store: ScriptedStore):
+    leadership = responding_leadership(clock, store, PeerStatus(2, False))
     answer = leadership.handle_peer_message(GOLDEN_1["messages"][kind])
     golden = GOLDEN_1["answers"][kind]
     assert golden.keys() <= answer.keys()
@@ -218,13 +224,7 @@
 
 @pytest.mark.parametrize("kind", sorted(GOLDEN_2["messages"]))
 def test_responses_to_version_2_messages_are_readable_by_version_2(kind, clock: FakeClock, store: ScriptedStore):
-    store.last_response_at = clock()
-    leadership = Leadership("n1", 3, [], store, clock, None, lambda role: None)
-    leadership.exchange.local_status = lambda: PeerStatus(3, False)
-    leadership.exchange.rate_demand = lambda: [1.0, 1.0]
-    leadership.exchange.on_cancellations_announced = lambda jobs: False
-    leadership.exchange.known_cancellations = lambda revision: KnownCancellations([("run-000003", 12)], True)
-    clock.advance(6.0)
+    leadership = responding_leadership(clock, store, PeerStatus(3, False))
     answer = stored(leadership.handle_peer_message(GOLDEN_2["messages"][kind]))
     golden = GOLDEN_2["answers"][kind]
     assert answer.keys() - golden.keys() <= {"fence"}
--- a/tests/test_oncall_page.py
+++ b/tests/test_oncall_page.py
@@ -90,7 +90,7 @@
     (module, text), *others = EXAMPLE_LINE.findall(PAGE)
     assert not others
     (line,) = [line for line in LINES if line.module == module and line.format.startswith(text.partition(":")[0])]
-    pattern = re.sub(r"%[sdr]", lambda _: "(.+)", re.sub(r"([.?()\[\]])", r"\\\1", line.format))
+    pattern = re.sub(r"%[sdr]", lambda _: "(.+)", re.escape(line.format))
     assert re.fullmatch(pattern, text)
 
 
--- a/tools/drain_measure.py
+++ b/tools/drain_measure.py
@@ -24,10 +24,10 @@
 
 import msgspec  # noqa: E402
 from harness.drain_simulation import PERIOD_S, TEAMS, BudgetOracle, Operator, cordoned, operations  # noqa: E402
+from harness.leading_node import leading  # noqa: E402
 from harness.play import play  # noqa: E402
 from harness.simulation import WORKERS, Simulation  # noqa: E402
 from hdrh.histogram import HdrHistogram  # noqa: E402
-from leading_node import leading  # noqa: E402
 
 from hookwall.config.operations import DisruptionBudget, DrainSettings  # noqa: E402
 from hookwall.config.platform import CloudLimits, MachineLimits, PlatformParameters, StoreLimits  # noqa: E402
