Histories of failovers with slow full reads, and checks that a deployment works again

Change: tests/failover_histories.py lets leaders crash, freeze or lose their peers while full reads take 0.2 to 0.5 s and operators write and delete drains. Digests cover the new histories too.

--- a/tests/histories.py
+++ b/tests/histories.py
@@ -7,6 +7,8 @@
 - the newest stored job record names each task that is on a machine, with that machine, epoch and attempt;
 - an attempt of a task is never launched on two machines.
 
+At the end, without faults, each node has to know exactly the stored keys that can be deleted, and a new job has to run.
+
 `python tests/histories.py FIRST LAST` runs the seeds from FIRST up to, but not including, LAST on all cores and prints
 those that break an invariant or a rule.
 """
@@ -25,6 +27,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from harness.play import play
+from harness.recovery import check_known_keys, check_new_job_runs
 from harness.simulation import Simulation
 from harness.worker import FakeWorker, Task
 
@@ -346,6 +349,8 @@
         ]
         await asyncio.gather(*faults)
         await asyncio.sleep(QUIET_PERIOD_S)
+        check_known_keys(simulation)
+        await check_new_job_runs(simulation, JOBS + 1)
 
     async def _begin(self, fault: Callable[[], Any]) -> None:
         """Inject a fault at a random time of the fault window."""
--- a/tests/history_digests.py
+++ b/tests/history_digests.py
@@ -22,6 +22,7 @@
 sys.path[:0] = [str(TESTS), str(TESTS.parent)]
 
 import drain_histories  # noqa: E402  (the import path has to be set first)
+import failover_histories  # noqa: E402
 import histories  # noqa: E402
 import pipeline_histories  # noqa: E402
 from harness.cloud import FakeCloud  # noqa: E402
@@ -32,6 +33,7 @@
     "troubles": histories.violations_of_seed,
     "pipelines": pipeline_histories.violations_of_seed,
     "drains": drain_histories.violations_of_seed,
+    "failovers": failover_histories.violations_of_seed,
 }
 
 
