Keep the newest of the records that arrive during a write of their job

What callers would see: a job that goes back to an older record in the leader's memory, until its next write is refused or its record changes again. A status answered in between could be older than one that was answered before.

Cause: while a job's write is in flight, received records are deferred. Each replaced the one before, whichever was newer: the answer to an earlier read of the record could replace what the watch had delivered meanwhile.

Fix: a deferred record is replaced only by a newer one. Elsewhere job records compare versions already.

Evidence: test_an_older_record_read_during_a_write_does_not_replace_a_newer_deferred_one failed before (version 11 instead of 12) and passes now.

--- a/hookwall/jobs/job_table.py
+++ b/hookwall/jobs/job_table.py
@@ -69,7 +69,8 @@
         if version < job.version or (version == job.version and not job.needs_reload):
             return
         if job.write_in_flight:
-            job.deferred_record = StoredValue(value, version)
+            if job.deferred_record is None or version > job.deferred_record.version:
+                job.deferred_record = StoredValue(value, version)
             self._apply_cancellation_from_value(job_id, value, version)
             return
         previous = list(job.allocations.values())
--- a/tests/jobs/test_job_writer.py
+++ b/tests/jobs/test_job_writer.py
@@ -200,6 +200,29 @@
     raise PreconditionFailedError([DELEGATE_KEY], 9)
 
 
+def test_an_older_record_read_during_a_write_does_not_replace_a_newer_deferred_one(
+    leading_writer: JobWriter, store: ScriptedStore
+):
+    """Guards against a leader that goes back to an older record, which then stays until the record changes again.
+
+    While a write is in flight, the watch delivers two newer versions; a read of the first of them is answered last.
+    """
+    table = leading_writer.table
+    key = keys.JOB_PREFIX + "run-000002"
+    value, _ = store.keys[key]
+    commit = store.commit
+
+    async def interleaved_commit(*args, **options):
+        table.apply_record(key, {**value, "next": 5}, 12)
+        table.apply_record(key, {**value, "next": 4}, 11)
+        return await commit(*args, **options)
+
+    store.commit, store.mode = interleaved_commit, "request_lost"
+    write(leading_writer)
+    job = table.jobs["run-000002"]
+    assert job.version == 12 and job.next_attempt == 5
+
+
 def test_a_record_deferred_during_a_write_is_applied_even_if_the_leadership_ended(
     leading_writer: JobWriter, store: ScriptedStore
 ):
