Write jobs again after an unexpected error during their write

What callers would see: jobs of which nothing is stored any more while the node leads, with a "loop failed" line as the only sign. They count as being written, and a job with a write in flight is left out of all further writes.

Cause: the mark was taken back only if the write ended with one of the store's errors. Supervision restarts the writer after any other error, but not the jobs' marks.

Fix: the writes of a batch are finished whatever ends them, and begun only once the whole batch is prepared.

Evidence: test_jobs_are_written_again_after_an_unexpected_error_during_their_write failed before (no job to write) and passes now.

--- a/hookwall/jobs/job_writer.py
+++ b/hookwall/jobs/job_writer.py
@@ -173,6 +173,7 @@
             if batch and (changes > max_changes or transaction_bytes > MAX_TRANSACTION_BYTES):
                 break
             batch.append(write)
+        for write in batch:
             write.begin()
         return batch
 
@@ -180,10 +181,14 @@
         """Write the first of these jobs in one transaction, and process its outcome."""
         fencing_token = self.leadership.fencing_token
         batch = self._begin_batch(jobs)
-        outcome = await self._try_commit(fencing_token, batch) if batch else WriteOutcome()
-        still_leader = self.leadership.fencing_token == fencing_token and self.leadership.role is Role.LEADER
-        for write in batch:
-            self._finish(write, outcome.version, still_leader)
+        outcome = WriteOutcome()
+        try:
+            if batch:
+                outcome = await self._try_commit(fencing_token, batch)
+        finally:  # also after an unexpected error, or these jobs would count as being written for good
+            still_leader = self.leadership.fencing_token == fencing_token and self.leadership.role is Role.LEADER
+            for write in batch:
+                self._finish(write, outcome.version, still_leader)
         if still_leader:
             await self._follow_up(outcome)
 
--- a/tests/jobs/test_job_writer.py
+++ b/tests/jobs/test_job_writer.py
@@ -11,6 +11,7 @@
 
 from hookwall.config.platform import StoreLimits
 from hookwall.jobs.allocation import Allocation
+from hookwall.jobs.job import jobs_to_write
 from hookwall.jobs.job_table import JobTable
 from hookwall.jobs.job_writer import JobWriter
 from hookwall.jobs.start_record_budget import BYTES_PER_MACHINE, BYTES_PER_START
@@ -223,6 +224,25 @@
     assert job.version == 12 and job.next_attempt == 5
 
 
+def test_jobs_are_written_again_after_an_unexpected_error_during_their_write(
+    leading_writer: JobWriter, store: ScriptedStore
+):
+    """Guards against jobs that count as being written for the rest of the leadership, and are never stored."""
+    commit = store.commit
+
+    async def failing_commit(*args, **options):
+        raise RuntimeError("not an error of the store")
+
+    store.commit = failing_commit
+    with pytest.raises(RuntimeError):
+        write(leading_writer)
+    store.commit = commit
+    jobs = jobs_to_write(leading_writer.table.open_jobs.values(), leading_writer.clock(), has_spare_changes=True)
+    assert [job.job_id for job in jobs] == ["run-000002"]
+    write(leading_writer)
+    assert machines(leading_writer) == ["vm-2"] and not leading_writer.table.jobs["run-000002"].has_unsaved_changes
+
+
 def test_a_record_deferred_during_a_write_is_applied_even_if_the_leadership_ended(
     leading_writer: JobWriter, store: ScriptedStore
 ):
