--- a/hookwall/storage/watch.py
+++ b/hookwall/storage/watch.py
@@ -99,7 +99,7 @@
             except RevisionCompactedError:
                 self.progress.loaded = False
             except (RequestRejectedError, OutcomeUnknownError) as error:
-                log.debug("key watch failed: error=%s", error)
+                log.debug("key watch failed: full_read=%s error=%s", self.progress.needs_full_read(), error)
                 await asyncio.sleep(RETRY_S)
 
     async def _apply_next_changes(self) -> None:
