--- a/hookwall/node/key_dispatch.py
+++ b/hookwall/node/key_dispatch.py
@@ -111,7 +111,7 @@
             self.job_table.apply_chunk(key, value, version)
         elif key != keys.CATALOG_KEY:
             self.drains.apply_key(key, value, version)
-        elif not self.leadership.valid():
+        elif not self.leadership.valid():  # a leader has its catalog from the cloud
             self._apply_stored_catalog(value)
 
     def apply_deletion(self, key: str, revision: int) -> None:
