Drain histories check at their end which keys each node knows

The check of harness/recovery, a few seconds after all drains have ended: a step or a drain that came back, or was lost, on any node is seen. The check is for what may come.

--- a/tests/drain_histories.py
+++ b/tests/drain_histories.py
@@ -2,8 +2,9 @@
 
 A history is generated from a seed. It has jobs of two teams, one or two drains with random terms, some of them aborted
 and resumed, and the faults of `histories.py`. The checks are the rules and invariants of `histories.py`, that drains
-alone never disrupt more jobs of a team than its budget, and that each drain ends soon after the faults. The record of a
-drain that does not end is reported, with its reason to wait.
+alone never disrupt more jobs of a team than its budget, that each drain ends soon after the faults, and that each node
+then knows exactly the stored keys that can be deleted. The record of a drain that does not end is reported, with its
+reason to wait.
 
 `python tests/drain_histories.py FIRST LAST` plays a range of seeds on all cores.
 """
@@ -16,6 +17,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from harness.drain_simulation import TEAMS, BudgetOracle, Operator, cordoned, operations
+from harness.recovery import check_known_keys
 from harness.simulation import Simulation
 from histories import History, Invariants, play_range, run_history
 
@@ -25,6 +27,7 @@
 BUDGETS = {"red": 1, "blue": 2}
 MACHINES = 8
 AVAILABLE_MACHINES = 30
+SETTLING_S = 8.0  # for the watches to deliver the last changes
 END_TIMEOUT_S = 260.0  # for drains to end after the last fault; jobs run for up to 120 s
 
 
@@ -56,6 +59,8 @@
         ]
         await asyncio.gather(*drains, *faults)
         await self._check_drains_end(names)
+        await asyncio.sleep(SETTLING_S)
+        check_known_keys(simulation)
 
     async def _submit_job(self, number: int) -> None:
         """Submit a random job at a random time."""
