A leader whose watch alone gets no response leaves the leadership to another node

What callers would see: a job that another node accepted is not started, beside empty machines, while the leader answers and stores what it knows of. The leader never learns of the job.

Cause: a watch request that gets no response is repeated for ever, with a debug line only.

Fix: after three such requests in a row and 15 s, in each of which the store has answered another request of this node, the watch counts as stalled: an error line, and a leader resigns. Rejected requests and outages don't count.

Evidence: test_a_leader_whose_watch_stands_still_... fails without the change as in the trial and passes now; tests keep that an outage of 20 or 60 s, rejections and quick failures lead to no resignation.

--- a/hookwall/node/key_dispatch.py
+++ b/hookwall/node/key_dispatch.py
@@ -156,6 +156,11 @@
         """Whether this node leads and therefore needs changes with less delay."""
         return self.leadership.role is Role.LEADER
 
+    async def on_watch_stalled(self) -> None:
+        """Leave the leadership to a node that learns of the jobs that other nodes accept."""
+        if self.leadership.role is Role.LEADER:
+            await self.leadership.resign("the watch is stalled")
+
     async def load_for_leadership(self) -> None:
         """Rebuild a new leader's state from the records as read after its leader key was written."""
         self.job_table.invalidate_decisions()
--- a/hookwall/storage/watch.py
+++ b/hookwall/storage/watch.py
@@ -20,6 +20,9 @@
 LEADER_PAUSE_S = 0.1  # between two requests, so that frequent changes arrive in batches and need few requests
 FOLLOWER_PAUSE_S = 0.25
 RETRY_S = 0.4
+# The watch is stalled after this many consecutive requests without a response, and this time, while others got one.
+STALLED_REQUESTS = 3
+STALLED_AFTER_S = 15.0
 
 
 class KeyObserver(Protocol):
@@ -40,6 +43,9 @@
     def is_leader(self) -> bool:
         """Whether this node leads and therefore needs changes with less delay."""
 
+    async def on_watch_stalled(self) -> None:
+        """React to a watch that delivers nothing although the store answers other requests of this node."""
+
 
 @dataclass(slots=True)
 class WatchProgress:
@@ -87,11 +93,15 @@
         self.progress = progress
         self.observer = observer
         self.clock = clock
+        self._request_sent_at = clock()
+        self._unanswered_requests = 0  # consecutive requests without a response, during which others got one
+        self._unanswered_since = 0.0  # when the first of them was sent
 
     async def run(self) -> None:
         """Pass every change to the observer until the task is cancelled."""
         while True:
             try:
+                self._request_sent_at = self.clock()
                 if self.progress.needs_full_read():
                     await self.observer.read_all()
                 await self._apply_next_changes()
@@ -100,11 +110,16 @@
                 self.progress.loaded = False
             except (RequestRejectedError, OutcomeUnknownError) as error:
                 log.debug("key watch failed: full_read=%s error=%s", self.progress.needs_full_read(), error)
+                if self._is_stalled(rejected=isinstance(error, RequestRejectedError)):
+                    log.error(
+                        "key watch stalled although the store answers: watched=%d", self.progress.watched_revision
+                    )
+                    await self.observer.on_watch_stalled()
                 await asyncio.sleep(RETRY_S)
 
     async def _apply_next_changes(self) -> None:
         """Apply one batch of changes."""
-        sent_at = self.clock()
+        sent_at = self._request_sent_at = self.clock()
         changes, revision = await self.store.read_changes(self.progress.watched_revision, WATCH_TIMEOUT_S)
         for change in changes:
             if isinstance(change, KeyValueEntry):
@@ -112,4 +127,21 @@
             else:
                 self.observer.apply_deletion(*change)
         self.progress.watched_revision = revision
+        self._unanswered_requests = 0
         self.observer.confirm_current(sent_at)
+
+    def _is_stalled(self, rejected: bool) -> bool:
+        """Count a failed request; return whether the watch stands still while the store answers other requests.
+
+        In an outage the store answers none of them, and a leader goes on leading.
+        """
+        if rejected or self.store.last_response_at <= self._request_sent_at:
+            self._unanswered_requests = 0
+            return False
+        if not self._unanswered_requests:
+            self._unanswered_since = self._request_sent_at
+        self._unanswered_requests += 1
+        if self._unanswered_requests < STALLED_REQUESTS or self.clock() - self._unanswered_since < STALLED_AFTER_S:
+            return False
+        self._unanswered_requests = 0
+        return True
--- a/tests/cluster/test_full_reads.py
+++ b/tests/cluster/test_full_reads.py
@@ -10,6 +10,7 @@
 
 import pytest
 from harness.play import play
+from harness.recovery import LONGEST_WAIT_S
 from harness.simulation import Simulation
 
 from hookwall.jobs.write_stall import RESIGN_AFTER_S
@@ -123,3 +124,33 @@
     play(scenario)
     remedies = [line.rpartition("remedy=")[2] for line in caplog.messages if line.startswith("leader stores nothing")]
     assert remedies == (["'full read'", "'resign'"] if lasting else ["'full read'"])
+
+
+def test_a_leader_whose_watch_stands_still_leaves_the_leadership_to_another_node(caplog: pytest.LogCaptureFixture):
+    """Guards against jobs that wait for a leader which never learns of them, as only its watch gets no response."""
+
+    async def scenario(simulation: Simulation) -> None:
+        leader = simulation.current_leader_name()
+        simulation.store.watch_blocked.add(leader)
+        job_id = simulation.define_job(1)
+        await simulation.submit_until_accepted(job_id, node=simulation.followers()[0])
+        await simulation.wait_until_running(job_id, LONGEST_WAIT_S)
+        assert simulation.current_leader_name() != leader
+
+    play(scenario)
+    assert any(line.startswith("key watch stalled although the store answers") for line in caplog.messages)
+
+
+@pytest.mark.parametrize("outage_s", [20.0, 60.0])
+def test_a_leader_goes_on_leading_after_an_outage(outage_s: float):
+    """Guards against a resignation for a watch that stood still with everything else."""
+
+    async def scenario(simulation: Simulation) -> None:
+        leader = simulation.current_leader_name()
+        simulation.store.set_outage(True)
+        await asyncio.sleep(outage_s)
+        simulation.store.set_outage(False)
+        await asyncio.sleep(30.0)
+        assert simulation.current_leader_name() == leader
+
+    play(scenario)
--- a/tests/storage/test_watch.py
+++ b/tests/storage/test_watch.py
@@ -8,6 +8,8 @@
 from key_value_stub import store_with
 
 from hookwall.config.platform import PlatformParameters
+from hookwall.storage.entries import ChangeBatch
+from hookwall.storage.errors import OutcomeUnknownError, RequestRejectedError
 from hookwall.storage.watch import Watch, WatchProgress
 
 
@@ -35,6 +37,9 @@
     def is_leader(self) -> bool:
         return True
 
+    async def on_watch_stalled(self) -> None:
+        self.events.append(("stalled",))
+
 
 def run_watch(params: PlatformParameters, clock: FakeClock, *responses: tuple[int, bytes]):
     """Run the watch until the responses are used up; return its progress and the events of its observer."""
@@ -64,3 +69,47 @@
     progress, events = run_watch(params, clock, *responses)
     assert events == [("read all",), ("current", clock()), ("read all",), ("current", clock())]
     assert progress.watched_revision == 6
+
+
+class SilentStore:
+    """A store whose watch requests fail, each after `duration_s`, while it answers other requests or does not."""
+
+    def __init__(self, clock: FakeClock, duration_s: float, answers_others: bool, error: Exception) -> None:
+        self.clock, self.duration_s, self.answers_others, self.error = clock, duration_s, answers_others, error
+        self.last_response_at = clock()
+        self.requests = 0
+
+    async def read_changes(self, after: int, wait_s: float) -> ChangeBatch:
+        self.requests += 1
+        if self.requests > 6:
+            raise asyncio.CancelledError
+        self.clock.advance(self.duration_s)
+        if self.answers_others:
+            self.last_response_at = self.clock()
+        raise self.error
+
+
+NO_RESPONSE = OutcomeUnknownError("no response")
+REJECTED = RequestRejectedError("own rate limit")
+
+
+@pytest.mark.parametrize(
+    ("duration_s", "answers_others", "error", "stalls"),
+    [
+        (6.0, True, NO_RESPONSE, 2),
+        (6.0, False, NO_RESPONSE, 0),  # an outage
+        (6.0, True, REJECTED, 0),
+        (0.1, True, NO_RESPONSE, 0),  # too short a time
+    ],
+)
+def test_a_watch_is_stalled_if_only_its_requests_get_no_response(
+    clock: FakeClock, monkeypatch: pytest.MonkeyPatch, duration_s: float, answers_others: bool, error: Exception, stalls
+):
+    """Guards against a leader that resigns in an outage, and against one that never learns of any change."""
+    monkeypatch.setattr("hookwall.storage.watch.RETRY_S", 0.0)
+    progress = WatchProgress()
+    observer = RecordingObserver(progress)
+    watch = Watch(SilentStore(clock, duration_s, answers_others, error), progress, observer, clock)
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(watch.run())
+    assert observer.events.count(("stalled",)) == stalls
