A gang whose image takes longer to fetch than its tasks wait runs again after a loss

Cause: a gang was stopped whole as soon as one of its tasks had ended. Where one machine has the image and another one fetches it for longer than `gang_wait_s`, the first task ends with `alone`, and the stop makes the second machine give up its fetch. The next attempt chooses the same machines and begins where the one before began. Hypotheses: the placement changes machines with each attempt (then other machines would fetch), a quota or a reservation keeps the gang from being placed (then no attempt would be launched), the stop gives the fetch up (then a `halted` of the fetching task follows each `alone`). The record of the case shows the third: attempts on the same two machines, each ended by `alone`, then `halted` after 16 to 18 of 20 GB.

Change: `scheduling/broken_gangs`. A fetch that has lasted for `gang_wait_s` goes on although the gang is broken; the machines whose tasks have ended stay reserved for the gang until it is placed again. So an attempt that loses no machine runs, or leaves the image on all of its machines, and the next one starts at once. Every start keeps a new attempt number: a replacement under the same number, which the protocol allows, would make a start command valid twice. A start that was read from a record counts as old, since a new leader does not know when its fetch began.

--- a/hookwall/jobs/allocation.py
+++ b/hookwall/jobs/allocation.py
@@ -31,6 +31,7 @@
         "finished",
         "machine",
         "reported_phase",
+        "reserves_machine",
         "running_since",
         "stop_grace_s",
         "stop_sent_at",
@@ -38,7 +39,10 @@
     )
 
     def __init__(self, task: int, machine: str, epoch: int, attempt: int, now: float) -> None:
-        """Allocate the task to the worker on `machine`. The worker's epoch increases each time its lease expires."""
+        """Allocate the task to the worker on `machine`. The worker's epoch increases each time its lease expires.
+
+        `now` is DISTANT_PAST if the time of the decision is unknown, because an earlier leader made it.
+        """
         self.task = task
         self.machine = machine
         self.epoch = epoch
@@ -49,3 +53,4 @@
         self.stop_grace_s: float | None = None  # None: the task is not to be stopped
         self.stop_sent_at = DISTANT_PAST
         self.finished = False
+        self.reserves_machine = False  # whether its machine stays reserved for the job once the task has ended
--- a/hookwall/jobs/job.py
+++ b/hookwall/jobs/job.py
@@ -191,7 +191,7 @@
             (machine, epoch, attempt, encode_ranges(tasks)) for (machine, epoch, attempt), tasks in tasks_of.items()
         ]
 
-    def load_record(self, record: JobRecord, value: object, version: int, now: float) -> None:
+    def load_record(self, record: JobRecord, value: object, version: int) -> None:
         """Replace the state of the job by a stored record. Workers' reports about unchanged starts are kept."""
         self.version = version
         self.stored_value = value
@@ -205,7 +205,7 @@
         self.queued_at = self.submitted_at
         if record.spec is None or self.spec is None:
             self.spec = record.spec
-        self._load_allocations(record, now)
+        self._load_allocations(record)
         if record.spec is not None:
             self._load_done_tasks(decode_ranges(record.done_tasks or ""))
         else:
@@ -218,7 +218,7 @@
         self.needs_reload = False
         self.record_unreadable = False
 
-    def _load_allocations(self, record: JobRecord, now: float) -> None:
+    def _load_allocations(self, record: JobRecord) -> None:
         """Set the allocations to the starts that the record names. Those that are already known are kept unchanged."""
         known = self.allocations
         self.allocations = {}
@@ -229,7 +229,7 @@
             for task in decode_ranges(tasks):
                 allocation = known.get(task)
                 if allocation is None or (allocation.machine, allocation.epoch, allocation.attempt) != identity:
-                    allocation = Allocation(task, machine, epoch, attempt, now)
+                    allocation = Allocation(task, machine, epoch, attempt, DISTANT_PAST)
                 self.allocations[task] = allocation
                 self.stored_starts[task] = stored_start
 
--- a/hookwall/jobs/job_table.py
+++ b/hookwall/jobs/job_table.py
@@ -90,7 +90,7 @@
         """Load a job from its stored value. Return False if the value can't be read."""
         try:
             record = job_records.decode_record(job.job_id, value, self.chunks.get)
-            job.load_record(record, value, version, self.clock())
+            job.load_record(record, value, version)
         except MissingChunksError:
             job.record_unreadable = True
             self.chunks.keep_unreadable_record(job.job_id, value, version)
--- a/hookwall/scheduling/scheduler.py
+++ b/hookwall/scheduling/scheduler.py
@@ -16,6 +16,7 @@
 from hookwall.jobs.job import OPEN, Job
 from hookwall.jobs.job_table import JobTable
 from hookwall.jobs.start_record_budget import StartRecordBudget, recordable_start_count
+from hookwall.scheduling.broken_gangs import BrokenGangs
 from hookwall.scheduling.cached_image_wait import CachedImageWait
 from hookwall.scheduling.image_affinity import STARVATION_S, ImageAffinity
 from hookwall.scheduling.machine_selection import MachineSelection
@@ -27,7 +28,7 @@
 from hookwall.scheduling.serving_order import (
     QueueEntry,
     QueueKey,
-    finish_jobs_and_broken_gangs,
+    finish_jobs,
     pending_jobs,
     serving_order,
 )
@@ -77,6 +78,7 @@
         self.waiting: dict[str, QueuedJob] = {}
         # Jobs that a drain has stopped (drains/). Capacity was found for them, which they yield to no other job.
         self.relocated_jobs: Container[str] = ()
+        self.broken_gangs = BrokenGangs(table, fleet, params.workers.gang_wait_s)
         self.latest_start_s = _latest_starts_s(params.objectives)
         team_settings = list(params.teams)
         self.quotas = Quotas(team_settings, table)
@@ -107,7 +109,9 @@
 
     def _still_waits(self, job_id: str) -> bool:
         job = self.table.open_jobs.get(job_id)
-        return job is not None and job.phase == OPEN and job_id in self.waiting
+        if job is None or job.phase != OPEN:
+            return False
+        return job_id in self.waiting or self.broken_gangs.holds_reservations(job_id)
 
     def resource_request(self, job: Job, count: int) -> ResourceRequest:
         """Return the request for `count` tasks of a job, in addition to those that may already be on machines."""
@@ -131,7 +135,8 @@
     def run_round(self) -> bool:
         """Run one scheduling round. Return True if the round did not serve the whole queue."""
         now = self.clock()
-        finish_jobs_and_broken_gangs(self.table, self.fleet, self.time_of_day)
+        finish_jobs(self.table, self.time_of_day)
+        self.broken_gangs.stop_remaining_tasks(now)
         self.reservations.measure_whole_machine_demand(now)
         pending = pending_jobs(self.table, self.waiting, now)
         if not pending:
@@ -167,6 +172,7 @@
         """Place as many tasks of a job as possible; preempt tasks or reserve machines for the others."""
         spec = job.spec
         assert spec is not None
+        self.broken_gangs.end_regrouping(job.job_id)
         if spec.gang:
             count = job.task_count
         else:
--- a/hookwall/scheduling/serving_order.py
+++ b/hookwall/scheduling/serving_order.py
@@ -9,7 +9,6 @@
 from hookwall.jobs.job import DONE, OPEN, Job
 from hookwall.jobs.job_table import JobTable
 from hookwall.scheduling.round_state import QueuedJob
-from hookwall.workers.fleet import Fleet
 
 
 class QueueKey(NamedTuple):
@@ -53,14 +52,10 @@
     return pending
 
 
-def finish_jobs_and_broken_gangs(table: JobTable, fleet: Fleet, time_of_day: Callable[[], float]) -> None:
-    """Finish jobs whose tasks are all done, and stop the remaining tasks of broken gangs."""
-    for job in list(table.open_jobs.values()):
+def finish_jobs(table: JobTable, time_of_day: Callable[[], float]) -> None:
+    """Finish the jobs whose tasks are all done."""
+    for job in table.open_jobs.values():
         if job.phase == OPEN and job.spec is not None and job.task_count and job.done_count >= job.task_count:
             job.phase = DONE
             job.finished_at = time_of_day()
             job.has_unsaved_changes = True
-        is_broken = job.spec is not None and job.spec.gang and 0 < len(job.allocations) < job.task_count
-        if job.phase == OPEN and is_broken and not job.done_count:
-            for allocation in job.allocations.values():
-                fleet.request_stop(job, allocation, 0.0, "its gang is incomplete")
--- a/hookwall/workers/fleet_transitions.py
+++ b/hookwall/workers/fleet_transitions.py
@@ -147,14 +147,19 @@
 
         Heartbeat responses carry the stop commands.
         """
-        if allocation.stop_grace_s is not None:
+        if allocation.stop_grace_s is None:
+            stopped = job.allocations.values() if job.spec is not None and job.spec.gang else (allocation,)
+            self.stop_allocations(job, stopped, grace_s, reason)
+
+    def stop_allocations(self, job: Job, allocations: Iterable[Allocation], grace_s: float, reason: str) -> None:
+        """Request a stop of just these tasks of a job; tasks that are to be stopped already are left alone."""
+        stopped = [allocation for allocation in allocations if allocation.stop_grace_s is None]
+        if not stopped:
             return
         self.on_stop_requested(job)
-        stopped = job.allocations.values() if job.spec is not None and job.spec.gang else (allocation,)
-        for stopped_allocation in stopped:
-            if stopped_allocation.stop_grace_s is None:
-                stopped_allocation.stop_grace_s = grace_s
-        log.debug(
-            "stop requested: job=%s task=%d machine=%s reason=%s",
-            job.job_id, allocation.task, allocation.machine, reason,
-        )  # fmt: skip
+        for allocation in stopped:
+            allocation.stop_grace_s = grace_s
+            log.debug(
+                "stop requested: job=%s task=%d machine=%s reason=%s",
+                job.job_id, allocation.task, allocation.machine, reason,
+            )  # fmt: skip
--- a/hookwall/workers/task_exits.py
+++ b/hookwall/workers/task_exits.py
@@ -43,6 +43,8 @@
                 "task ended: job=%s task=%d attempt=%d machine=%s cause=%s",
                 job.job_id, allocation.task, allocation.attempt, machine.name, cause,
             )  # fmt: skip
+        if cause == "alone" or (cause == "halted" and allocation.reserves_machine):
+            _reserve_for_next_attempt(machine, job)
         self.fleet.release_allocation(job, allocation, cause)
 
     def _apply_success(self, machine: Machine, job: Job, allocation: Allocation) -> None:
@@ -76,3 +78,9 @@
         if machine.phase is MachinePhase.UP and errors >= ERRORS_FOR_QUARANTINE:
             reason = f"{machine.consecutive_errors} consecutive errors"
             self.fleet.transition_to(machine, MachinePhase.QUARANTINED, reason)
+
+
+def _reserve_for_next_attempt(machine: Machine, job: Job) -> None:
+    """Reserve a machine that has the image for the gang's next attempt, unless another job was has it reserved."""
+    if machine.phase is MachinePhase.UP and not machine.reserved_for:
+        machine.reserved_for = job.job_id
--- a/tests/harness/simulation.py
+++ b/tests/harness/simulation.py
@@ -13,6 +13,7 @@
 
 from harness.cloud import FakeCloud
 from harness.frozen_process import run_while_not_frozen
+from harness.image_fetches import ImageFetches
 from harness.key_value_store import FakeKeyValueStore
 from harness.older_versions import OLD_NODES
 from harness.peer_link import PeerLink
@@ -61,6 +62,7 @@
             {"hulls": [{"label": "g4", "cores": 32, "cards": 4, "memGb": 256, "localGb": 40, "pullGbPerS": 5.0,
                         "price": 10.0, "spotPrice": 4.0, "startupS": 10, "yards": ["east", "west"]}]}
         ).encode()  # fmt: skip
+        self.fetch_gb_per_s: float | None = options.get("fetch_gb_per_s")  # None: each image fetch takes the same time
         self.names = [f"n{i}" for i in range(nodes)]
         self.nodes: dict[str, Node] = {}
         self.running: dict[str, asyncio.Task] = {}
@@ -237,6 +239,8 @@
             node=self.last_machine_number % len(self.names),
         )
         worker.lease_from = self.now() + boot_s
+        if self.fetch_gb_per_s is not None:
+            worker.image_fetches = ImageFetches(self.fetch_gb_per_s)
         self.workers[worker.name] = worker
         self.run_in_background(worker.run())
         return worker
@@ -246,7 +250,7 @@
         job_id, _, number = task_id.rpartition("/")
         job = self.jobs[job_id]
         gang = job.spec["shape"] == "ensemble"
-        if task.phase == "pulling" and now - task.phase_since >= 1.0:
+        if task.phase == "pulling" and worker.has_image(job.spec["bundle"], task):
             self.rules.check_start(worker, task_id, job, now)
             task.phase, task.phase_since = ("waiting" if gang else "running"), now
             worker.heartbeat_due_soon = True
--- a/tests/harness/worker.py
+++ b/tests/harness/worker.py
@@ -6,12 +6,15 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from harness.image_fetches import ImageFetches
+
 if TYPE_CHECKING:
     from harness.simulation import Simulation
 
 STEP_S = 0.1
 NETWORK_DELAY_S = 0.002
 RESPONSE_TIMEOUT_S = 4.0
+FETCH_S = 1.0  # how long a machine without a model of image fetches takes to fetch an image
 PROMPT_HEARTBEAT_S = 0.5  # interval to the next heartbeat if there is a change to report
 RETRY_DELAY_S = 1.0
 
@@ -54,6 +57,7 @@
     heartbeat_due_soon: bool = False
     sent_heartbeats: list[bytes] = field(default_factory=list)  # to be delivered again later, as delayed duplicates
     reached: Callable[[str], bool] = lambda node: True
+    image_fetches: ImageFetches | None = None  # None: each task has its image after `FETCH_S`
 
     def listed_phase(self) -> str:
         """Return the phase of the machine in the machine list of the cloud."""
@@ -203,6 +207,23 @@
         task.phase, task.cause = "exited", cause
         self.heartbeat_due_soon = True
 
+    def has_image(self, image: str, task: Task) -> bool:
+        """Whether a task that waits for its image has it now."""
+        if self.image_fetches is None:
+            return self.simulation.now() - task.phase_since >= FETCH_S
+        return image in self.image_fetches.cached
+
+    def _advance_image_fetches(self, now: float) -> None:
+        """Advance the fetches of the images for which tasks wait."""
+        if self.image_fetches is None:
+            return
+        specs = [
+            self.simulation.jobs[task_id.rpartition("/")[0]].spec
+            for task_id, task in self.tasks.items()
+            if task.phase == "pulling"
+        ]
+        self.image_fetches.advance({spec["bundle"]: spec["sizeGb"] for spec in specs}, STEP_S, now)
+
     def end_lease(self, now: float) -> None:
         """Kill all tasks and begin the next epoch if the lease has expired."""
         if now > self.lease_from + self.simulation.params.workers.lease_s:
@@ -216,5 +237,6 @@
         if self.hung or self.lease_from == 0.0 or now < self.lease_from:
             return
         self.end_lease(now)
+        self._advance_image_fetches(now)
         for task_id, task in self.tasks.items():
             self.simulation.advance_task(self, task_id, task, now)
