Void decisions are reverted whatever becomes of the write that was under way

Cause: when a follower turns out to renew a lease that the leader took for expired, the leader reverts its unsaved decisions. A job whose write was under way was reverted only if that write failed. If it had succeeded, the decisions that were made since it began stayed. They rested on the expired lease, and went out with the next write, whose preconditions held the new version of the delegate's key. Hypotheses: the preconditions miss the delegate's key (then the write would be stored although the key is unknown), the lease is counted too short (then the delegate would answer after the leader's 12.5 s), a decision survives the revert (then the job's record loses the start after "unsaved decisions are void"). Trace on one clock: delegation 1021.97, lease expired 1022.64, delegation observed and decisions void 1022.90, response of the write 1023.00, record without the four running tasks 1023.1. It is the third.

Change: `jobs/unsettled_writes`. A job that is being written when decisions become void is reverted at the end of that write to what is then stored, whatever the outcome. Until the outcome is known no round decides anything, for other jobs neither, as they could take what the void decision seemed to release. A write without a response may still be executed: the job is written once more, unchanged, so that the new version keeps it from that, or shows that it was.

--- a/hookwall/jobs/job.py
+++ b/hookwall/jobs/job.py
@@ -42,9 +42,9 @@
         "allocations", "allowed_type_indices", "deferred_record", "done_count", "done_flags", "failures_by_machine",
         "finished_at", "has_unsaved_changes", "has_unsaved_starts", "image_index", "job_id", "last_failure_at",
         "machine_type_fit", "needs_reload", "next_attempt", "pending_cursor", "phase", "queued_at", "rank",
-        "record_unreadable", "retry_not_before", "revert_if_write_fails", "spec", "stored_done_count", "stored_phase",
-        "stored_starts", "stored_value", "submitted_at", "task_count", "team_index", "unrecorded_reports",
-        "unsaved_since", "version", "write_in_flight", "zone_index",
+        "record_unreadable", "retry_not_before", "spec", "stored_done_count", "stored_phase", "stored_starts",
+        "stored_value", "submitted_at", "task_count", "team_index", "unrecorded_reports", "unsaved_since", "version",
+        "write_in_flight", "zone_index",
     )  # fmt: skip
 
     def __init__(self, job_id: str) -> None:
@@ -71,7 +71,6 @@
         self.has_unsaved_starts = False  # a start is launched only once it is stored
         self.unsaved_since: float | None = None  # when the writer first found the unsaved changes
         self.write_in_flight = False
-        self.revert_if_write_fails = False
         self.deferred_record: StoredValue | None = None  # received while a write of this node was in flight
         self.needs_reload = False  # the record must be applied again even if its version is already known
         self.record_unreadable = False  # a newer record can't be read, so the state known here may be outdated
--- a/hookwall/jobs/job_table.py
+++ b/hookwall/jobs/job_table.py
@@ -11,6 +11,7 @@
 from hookwall.jobs.allocation import Allocation
 from hookwall.jobs.dependency_graph import DependencyGraph, GraphChanges, Outcome
 from hookwall.jobs.job import CANCELLED, OPEN, Job
+from hookwall.jobs.unsettled_writes import UnsettledWrites
 from hookwall.protocol import job_messages
 from hookwall.storage import job_records, keys
 from hookwall.storage.chunk_table import ChunkTable
@@ -51,6 +52,7 @@
         self.blocked_jobs: dict[str, Job] = {}  # jobs that wait for other jobs
         self.dependencies = DependencyGraph()
         self.chunks = ChunkTable()
+        self.unsettled_writes = UnsettledWrites()
         # Versions of cancellations that are known from a peer or from a record version that is not applied yet.
         self.peer_cancellations: dict[str, int] = {}
 
@@ -149,6 +151,7 @@
         The known versions are kept. If they were reset to 0, a status poll that is being confirmed while a new leader
         loads would find version 0, and would be answered with 404 for an accepted job.
         """
+        self.unsettled_writes.clear()
         for job in self.jobs.values():
             if job.spec is None and job.is_final():
                 continue
@@ -157,21 +160,33 @@
             job.write_in_flight = False
             job.has_unsaved_changes = False
             job.has_unsaved_starts = False
-            job.revert_if_write_fails = False
             for allocation in job.allocations.values():
                 allocation.stop_grace_s = None
 
     def revert_unsaved(self) -> None:
         """Revert all jobs with unsaved decisions to their stored state.
 
-        A write in flight may or may not have succeeded; its decisions are reverted later if it has failed.
+        What a job's record admits is not known while a write of it is under way. Such a job is reverted by
+        `finish_write`, whatever the outcome of that write.
         """
         for job in list(self.open_jobs.values()):
             if job.write_in_flight:
-                job.revert_if_write_fails = True
+                self.unsettled_writes.add(job)
             elif job.has_unsaved_changes:
                 self.revert_job(job)
 
+    def finish_write(self, job: Job, outcome_known: bool) -> None:
+        """Revert a job to its stored state after a write, if decisions became void while the write was under way."""
+        if not self.unsettled_writes.concerns(job):
+            return
+        self.revert_job(job)
+        if outcome_known:
+            self.unsettled_writes.settle(job)
+
+    def unsettled_jobs(self) -> list[Job]:
+        """The jobs whose stored state is not known; until there are none, no decision may be made for any job."""
+        return self.unsettled_writes.remaining(self.jobs)
+
     def revert_job(self, job: Job) -> None:
         """Revert one job to its stored state."""
         if job.stored_value is not None:
--- a/hookwall/jobs/job_writer.py
+++ b/hookwall/jobs/job_writer.py
@@ -49,6 +49,7 @@
     version: int = 0
     conflict: PreconditionFailedError | None = None
     too_large: bool = False
+    may_be_executed: bool = False  # whether it may have been executed, or may still be, although that is not known
 
 
 def _packing_disabled() -> bool:
@@ -99,7 +100,7 @@
             await asyncio.sleep(WRITE_INTERVAL_S)
             jobs: list[Job] = []
             if self.leadership.valid():
-                jobs = jobs_to_write(self.table.open_jobs.values(), self.clock(), self.store.has_spare_changes())
+                jobs = self._next_jobs()
             if jobs:
                 await self._write(jobs)
                 continue
@@ -109,6 +110,11 @@
                 await self.chunk_collector.collect()
             await self._wait()
 
+    def _next_jobs(self) -> list[Job]:
+        """The jobs to store next. A new write of an unsettled job keeps the earlier one from being executed late."""
+        changed = jobs_to_write(self.table.open_jobs.values(), self.clock(), self.store.has_spare_changes())
+        return list(dict.fromkeys([*self.table.unsettled_jobs(), *changed]))
+
     async def _wait(self) -> None:
         """Wait until a write is requested, or until the idle interval has passed."""
         self.write_requested.clear()
@@ -181,14 +187,14 @@
         """Write the first of these jobs in one transaction, and process its outcome."""
         fencing_token = self.leadership.fencing_token
         batch = self._begin_batch(jobs)
-        outcome = WriteOutcome()
+        outcome = WriteOutcome(may_be_executed=True)
         try:
             if batch:
                 outcome = await self._try_commit(fencing_token, batch)
         finally:  # also after an unexpected error, or these jobs would count as being written for good
             still_leader = self.leadership.fencing_token == fencing_token and self.leadership.role is Role.LEADER
             for write in batch:
-                self._finish(write, outcome.version, still_leader)
+                self._finish(write, outcome, still_leader)
         if still_leader:
             await self._follow_up(outcome)
 
@@ -204,7 +210,7 @@
             return WriteOutcome(too_large=True)
         except (RequestRejectedError, OutcomeUnknownError) as error:
             log.debug("transaction not confirmed: jobs=%d error=%s", len(batch), error)
-            return WriteOutcome()
+            return WriteOutcome(may_be_executed=isinstance(error, OutcomeUnknownError))
 
     async def _follow_up(self, outcome: WriteOutcome) -> None:
         """Act on the outcome of a transaction of the present leadership."""
@@ -235,19 +241,16 @@
             guard=ChunkGuard.ALL,
         )
 
-    def _finish(self, write: PendingWrite, version: int, still_leader: bool) -> None:
-        """Process the end of one job's write. `version` is that of the written record, or 0 if the write failed.
-
-        Also apply a record that was received while the write was in flight.
-        """
+    def _finish(self, write: PendingWrite, outcome: WriteOutcome, still_leader: bool) -> None:
+        """Process the end of one job's write, and apply a record that was received while it was in flight."""
         job = write.job
         job.write_in_flight = False
-        revert = job.revert_if_write_fails
-        job.revert_if_write_fails = False
-        if still_leader and version:
-            self._confirm(write, version)
-        elif still_leader:
-            self._restore(write, revert)
+        if still_leader:
+            if outcome.version:
+                self._confirm(write, outcome.version)
+            else:
+                self._restore(write)
+            self.table.finish_write(job, outcome_known=not outcome.may_be_executed)
         if job.deferred_record is not None:
             deferred = job.deferred_record
             job.deferred_record = None
@@ -262,14 +265,12 @@
             log.info("job final: job=%s phase=%s", job.job_id, write.phase)
         self.table.update_indices(job)
 
-    def _restore(self, write: PendingWrite, revert: bool) -> None:
-        """Mark a job whose write failed, or may have failed, as unsaved again; revert it if `revert` is set."""
+    def _restore(self, write: PendingWrite) -> None:
+        """Mark a job whose write failed, or may have failed, as unsaved again."""
         job = write.job
         job.has_unsaved_changes = True
         job.has_unsaved_starts = job.has_unsaved_starts or write.had_unsaved_starts
         job.unsaved_since = write.unsaved_since
-        if revert:
-            self.table.revert_job(job)
 
     async def _reload_unreadable(self) -> None:
         """Reload one record whose chunks are missing. None of its job's tasks is started until they are available."""
--- a/hookwall/scheduling/scheduler.py
+++ b/hookwall/scheduling/scheduler.py
@@ -133,7 +133,12 @@
     # -- rounds --------------------------------------------------------------------------------
 
     def run_round(self) -> bool:
-        """Run one scheduling round. Return True if the round did not serve the whole queue."""
+        """Run one scheduling round. Return True if the round did not serve the whole queue.
+
+        Nothing is decided while it is not known what the records admit (`jobs/unsettled_writes`).
+        """
+        if self.table.unsettled_jobs():
+            return False
         now = self.clock()
         finish_jobs(self.table, self.time_of_day)
         self.broken_gangs.stop_remaining_tasks(now)
--- a/tests/cluster/test_ran_twice.py
+++ b/tests/cluster/test_ran_twice.py
@@ -117,6 +117,108 @@
     play(scenario)
 
 
+ARMED_BEFORE_EXPIRY_S = 0.55  # the next write of the job after this moment is the one whose result comes late
+DELEGATED_BEFORE_EXPIRY_S = 0.2  # when the worker reaches the delegate
+ROUND_S = 0.25  # within which the leader decides about the tasks of a lease that seems to have expired
+REQUEST_TIMEOUT_S = 1.5
+
+
+class LateWrite:
+    """The write of a job by the leader that is executed just before a follower begins to renew a lease.
+
+    Its result comes once the leader has taken the lease for expired, has decided, and has then seen the delegate's key.
+    """
+
+    def __init__(self, simulation: Simulation, job_id: str, worker: FakeWorker, executed_after_s: float | None) -> None:
+        """`executed_after_s`: it gets no response, and is executed so much later; None: it gets its response late."""
+        self.simulation = simulation
+        self.job_id = job_id
+        self.worker = worker
+        self.executed_after_s = executed_after_s
+        self.leader = simulation.current_leader_name()
+        self.armed = False
+        self.sent_at: float | None = None
+        self.result_at: float | None = None
+        simulation.store.after_commit = self.hold_response
+        simulation.store.write_delay_s = self.write_delay
+
+    def arm(self) -> None:
+        """Begin with the next write of the job."""
+        self.armed = True
+
+    def begin_if_in_question(self, node: str, body: dict) -> bool:
+        """Whether this is the write in question; if so, the leader's watch receives nothing from now on."""
+        sets_job = any(change.get("set") == keys.JOB_PREFIX + self.job_id for change in body.get("apply", ()))
+        if not (self.armed and node == self.leader and sets_job):
+            return False
+        self.armed = False
+        self.sent_at = self.simulation.now()
+        self.simulation.store.watch_blocked.add(self.leader)
+        return True
+
+    async def let_leader_decide(self) -> None:
+        """Wait until the leader has decided on the lease that seems to have expired, then let it see the key."""
+        expired = self.simulation.nodes[self.leader].fleet.lease_expiry.expired_machines
+        while self.worker.name not in expired:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(ROUND_S)
+        self.simulation.store.watch_blocked.discard(self.leader)
+        await asyncio.sleep(0.1)
+        self.result_at = self.simulation.now()
+
+    async def hold_response(self, node: str, body: dict) -> None:
+        """Hold the response to the write in question."""
+        if self.begin_if_in_question(node, body):
+            await self.let_leader_decide()
+
+    def write_delay(self, node: str, body: dict) -> float | None:
+        """Return when the write in question is executed, if it gets no response."""
+        if self.executed_after_s is None or not self.begin_if_in_question(node, body):
+            return None
+        self.simulation.run_in_background(self.let_leader_decide())
+        return self.executed_after_s
+
+
+async def delegate_lease_during_a_write(simulation: Simulation, executed_after_s: float | None) -> None:
+    """Let a lease seem to expire during a write of the job, and the delegate's key be seen just before its result."""
+    Invariants(simulation).watch()
+    leader = simulation.current_leader_name()
+    delegate = next(n for n in simulation.names if n != leader)
+    job_id = simulation.define_job(1, run_s=1.7, pieces=900)
+    worker = next(w for w in simulation.workers.values() if w.zone == "east")
+    on_far_machine: set[str] = set()
+
+    def let_tasks_last(machine: FakeWorker, task_id: str, _attempt: int) -> None:
+        number = int(task_id.rpartition("/")[2])
+        simulation.jobs[job_id].ends[number] = 300.0 if machine is worker else 1.0 + number % 7 / 5
+        if machine is worker:
+            on_far_machine.add(task_id)
+
+    simulation.on_launch.append(let_tasks_last)
+    await simulation.submit_until_accepted(job_id)
+    await simulation.wait_until(lambda: len(on_far_machine) == 4, 20.0, "the far machine has no tasks")
+    await asyncio.sleep(4.0)
+    late = LateWrite(simulation, job_id, worker, executed_after_s)
+    expires_in_s = worker.lease_from + simulation.params.workers.lease_s - simulation.now()
+    simulation.loop.call_later(expires_in_s - ARMED_BEFORE_EXPIRY_S, late.arm)
+    await heartbeat_to_delegate_before_expiry(simulation, worker, delegate, DELEGATED_BEFORE_EXPIRY_S)
+    await asyncio.sleep(12.0)
+    assert late.sent_at is not None, "no write of the job came at the moment in question"
+    assert late.result_at is not None and late.result_at < late.sent_at + REQUEST_TIMEOUT_S
+    assert keys.LEASE_DELEGATE_PREFIX + delegate in simulation.store.keys, "the lease is not delegated"
+    assert on_far_machine <= set(worker.tasks), "the tasks of the delegated lease are gone"
+
+
+@pytest.mark.parametrize("executed_after_s", [None, 0.0, 2.5, 6.0])
+def test_a_decision_on_a_delegated_lease_is_not_stored_when_the_result_of_a_write_comes_late(executed_after_s):
+    """The job was being written when the delegate's key was seen, so only that write was made void, if it failed.
+
+    It had succeeded. The decisions that were made during it, on the lease that seemed to have expired, were stored
+    under the new version of the delegate's key: tasks ran on a second machine.
+    """
+    play(lambda simulation: delegate_lease_during_a_write(simulation, executed_after_s), machines=8)
+
+
 def test_a_leader_key_written_late_does_not_make_a_second_leader():
     """A leader freezes and is then refused by the store; a candidate's write of the leader key is carried out 3 s late.
 
--- a/tests/harness/key_value_store.py
+++ b/tests/harness/key_value_store.py
@@ -18,6 +18,10 @@
     """Do nothing; the default action before and after a read."""
 
 
+async def _no_action_on_commit(_node: str, _body: dict) -> None:
+    """Do nothing; the default action after a transaction."""
+
+
 class FakeKeyValueStore:
     """The fake store; it can inject outages, rejections, lost responses and delayed writes.
 
@@ -38,6 +42,8 @@
         self.disconnected: set[str] = set()  # nodes whose requests receive no response
         # Seconds after which a transaction is executed without a response; None: executed at once, with a response.
         self.write_delay_s: Callable[[str, dict], float | None] = lambda node, body: None
+        # Awaited after a transaction was executed, before its response is sent.
+        self.after_commit: Callable[[str, dict], Awaitable[None]] = _no_action_on_commit
         self.read_delay_s: Callable[[str, str], float] = lambda node, path: 0.0  # additional latency of a read
         # Awaited before a GET request of a node is executed, and after that before its response is sent.
         self.before_read: Callable[[str, str], Awaitable[None]] = _no_action
@@ -127,6 +133,8 @@
             await self.after_read(node, path)
         else:
             status, out = self.respond(method, path, body)
+            if path == "/commit":
+                await self.after_commit(node, body)
         read_delay_s = self.read_delay_s(node, path) if method == "GET" else 0.0
         await asyncio.sleep(self.latency_s / 2 + read_delay_s)
         if node in self.disconnected:
--- a/tests/jobs/test_job_writer.py
+++ b/tests/jobs/test_job_writer.py
@@ -160,6 +160,66 @@
     )
 
 
+def make_void_during_commit(writer: JobWriter, store: ScriptedStore, decide) -> None:
+    """Let the next commit be executed while decisions of its job are made (`decide`) and then become void."""
+    commit = store.commit
+
+    async def interleaved_commit(*args, **options):
+        store.commit = commit
+        decide()
+        writer.table.revert_unsaved()
+        return await commit(*args, **options)
+
+    store.commit = interleaved_commit
+
+
+def test_a_decision_made_during_a_write_that_succeeds_is_reverted_if_it_became_void(
+    leading_writer: JobWriter, store: ScriptedStore
+):
+    """Guards against a task on two machines: the later decision was kept, and written under the delegate's new key."""
+    job = leading_writer.table.jobs["run-000002"]
+
+    def move_to_vm_3() -> None:
+        job.remove_allocation(0)
+        job.allocations[0] = Allocation(0, "vm-3", 1, job.next_attempt, 0.0)
+        job.has_unsaved_changes = job.has_unsaved_starts = True
+
+    make_void_during_commit(leading_writer, store, move_to_vm_3)
+    write(leading_writer)
+    assert machines(leading_writer) == ["vm-2"]
+    assert not job.has_unsaved_changes and not leading_writer.table.unsettled_jobs()
+
+
+@pytest.mark.parametrize("executed_late", [False, True])
+def test_a_void_decision_whose_write_has_no_response_is_superseded_before_anything_is_decided(
+    leading_writer: JobWriter, store: ScriptedStore, executed_late
+):
+    """Guards against decisions that don't count starts which a write without a response still stores."""
+    job = leading_writer.table.jobs["run-000002"]
+    make_void_during_commit(leading_writer, store, lambda: None)
+    store.mode = "response_lost" if executed_late else "request_lost"
+    write(leading_writer)
+    assert leading_writer.table.unsettled_jobs() == [job] and machines(leading_writer) == ["vm-1"]
+    store.mode = "ok"
+    assert leading_writer._next_jobs() == [job], "the job is written again although it has no unsaved decisions"
+    leading_writer.conflicts.reload_record = lambda key: reload_from(leading_writer, store, key)
+    write(leading_writer)
+    assert not leading_writer.table.unsettled_jobs()
+    assert machines(leading_writer) == ["vm-2" if executed_late else "vm-1"], "what the store contains"
+
+
+async def reload_from(writer: JobWriter, store: ScriptedStore, key: str) -> None:
+    """Apply the record as the store contains it."""
+    writer.table.apply_record(key, *store.keys[key])
+
+
+def test_a_refused_write_leaves_nothing_unsettled(leading_writer: JobWriter, store: ScriptedStore):
+    make_void_during_commit(leading_writer, store, lambda: None)
+    store.mode = "down"
+    write(leading_writer)
+    assert not leading_writer.table.unsettled_jobs() and machines(leading_writer) == ["vm-1"]
+
+
 def test_if_the_watch_is_late_any_lease_may_have_been_renewed_until_now(
     leading_writer: JobWriter, store: ScriptedStore, clock: FakeClock
 ):
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -31,6 +31,19 @@
     assert len(a.allocations) + len(b.allocations) == 16
 
 
+def test_no_job_is_placed_while_it_is_unknown_what_another_jobs_record_admits(cluster: Cluster):
+    """Guards against a start that takes what a void decision about another job seemed to release."""
+    send_heartbeats(cluster, "vm-1")
+    unsettled, waiting = cluster.submit(1), cluster.submit(2)
+    unsettled.write_in_flight = True
+    cluster.table.revert_unsaved()
+    assert not cluster.scheduler.run_round() and not waiting.allocations
+    unsettled.write_in_flight = False
+    cluster.table.finish_write(unsettled, outcome_known=True)
+    cluster.scheduler.run_round()
+    assert waiting.allocations
+
+
 def test_after_a_round_runs_out_of_time_the_next_one_continues_where_it_stopped(
     cluster: Cluster, monkeypatch: pytest.MonkeyPatch
 ):
