One job's amounts or errors stop no other job

Cause: free capacity is divided by what a task takes. Near 0 the quotient is infinite, and `int(inf)` raises. The error ended the round and the plan of what to rent, for all jobs, each time anew. The record is stored, so a restart does not help. Hypotheses: the division (then the tracebacks name it), the record (then the writer fails). The log shows the first only; `quotas` divides in the same way for teams with a limit.

Change: what a task takes counts as at least 1e-9 where tasks are counted. An unexpected error in the handling of a job, in reading, encoding, reports, placing, demand and plans, is caught at that job, logged once and counted (`jobs/job_errors`); a job whose scheduling failed is reverted, and the round ends, as its view may be wrong. A number beyond the range of a double is refused by the name of its field.

--- a/hookwall/autoscaling/demand.py
+++ b/hookwall/autoscaling/demand.py
@@ -10,6 +10,7 @@
 
 from hookwall.config.platform import PlatformParameters
 from hookwall.jobs.job import OPEN, Job
+from hookwall.jobs.job_errors import JobOperation
 from hookwall.protocol.cloud_messages import MachineType
 from hookwall.scheduling.fit import task_fit
 from hookwall.scheduling.scheduler import Scheduler
@@ -21,6 +22,7 @@
 ON_DEMAND_Z_SCORE = 0.8  # for on-demand machines
 TOTAL_Z_SCORE = 0.7  # for all machines
 GUARANTEE_Z_SCORE = 3.0  # for all machines if guaranteed work has to start sooner than a machine boots
+MAX_STARTUP_S = 300.0  # one job with a huge image must not make a site keep hundreds of machines ready
 IDLE_RESET_S = 20.0  # after this long without any job, no machines are kept ready
 
 
@@ -138,19 +140,26 @@
         for job in self.fleet.table.open_jobs.values():
             if job.phase != OPEN or job.spec is None:
                 continue
-            queued = self.scheduler.waiting.get(job.job_id)
-            task_count = len(job.allocations) + (queued.count if queued is not None else 0)
-            fit = task_fit(job, self.fleet)
-            machines = task_count * fit.machine_share
-            if job.spec.spot:
-                need.spot += machines
-            else:
-                need.on_demand += machines
-            need.startup_s = max(need.startup_s, fit.startup_s)
-            if task_count and job.job_id not in self.counted_jobs:
-                self._count_arrival(job, job.spec.spot, machines)
+            try:
+                self._count_job(job, job.spec.spot, need)
+            except Exception:  # noqa: BLE001 - recorded with its traceback
+                self.fleet.table.errors.record(job.job_id, JobOperation.MEASURE_DEMAND)
         return need
 
+    def _count_job(self, job: Job, spot: bool, need: Need) -> None:
+        """Add the need of one job, and count it as an arrival if it was not counted before."""
+        queued = self.scheduler.waiting.get(job.job_id)
+        task_count = len(job.allocations) + (queued.count if queued is not None else 0)
+        fit = task_fit(job, self.fleet)
+        machines = task_count * fit.machine_share
+        if spot:
+            need.spot += machines
+        else:
+            need.on_demand += machines
+        need.startup_s = max(need.startup_s, min(fit.startup_s, MAX_STARTUP_S))
+        if task_count and job.job_id not in self.counted_jobs:
+            self._count_arrival(job, spot, machines)
+
     def _count_arrival(self, job: Job, spot: bool, machines: float) -> None:
         """Count a job that needs `machines` machines as an arrival, unless it arrived before this leadership."""
         self.counted_jobs.add(job.job_id)
--- a/hookwall/autoscaling/provisioning_plan.py
+++ b/hookwall/autoscaling/provisioning_plan.py
@@ -13,6 +13,7 @@
 from hookwall.autoscaling.capacity import Capacity, MachinePool
 from hookwall.autoscaling.demand import Demand
 from hookwall.autoscaling.pool_backoff import PoolBackoff
+from hookwall.jobs.job_errors import JobOperation
 from hookwall.scheduling.round_state import provisioning_order
 from hookwall.scheduling.scheduler import Scheduler
 from hookwall.workers.fleet import Fleet
@@ -77,8 +78,12 @@
         """Plan what to provision for the waiting jobs in addition to the incoming machines."""
         packing = _Packing(self.capacity, self._open_pools(now), self.capacity.incoming_machines(now))
         for queued in provisioning_order(self.scheduler.waiting):
-            if queued.job.spec is not None:
+            if queued.job.spec is None:
+                continue
+            try:
                 packing.add(self.scheduler.resource_request(queued.job, queued.count))
+            except Exception:  # noqa: BLE001 - recorded with its traceback
+                self.fleet.table.errors.record(queued.job.job_id, JobOperation.PLAN_MACHINES)
         for request in self.relocation_requests():
             packing.add(request)
         return dict(packing.planned)
--- a/hookwall/jobs/job_table.py
+++ b/hookwall/jobs/job_table.py
@@ -11,6 +11,7 @@
 from hookwall.jobs.allocation import Allocation
 from hookwall.jobs.dependency_graph import DependencyGraph, GraphChanges, Outcome
 from hookwall.jobs.job import CANCELLED, OPEN, Job
+from hookwall.jobs.job_errors import JobErrors, JobOperation
 from hookwall.jobs.unsettled_writes import UnsettledWrites
 from hookwall.protocol import job_messages
 from hookwall.storage import job_records, keys
@@ -53,6 +54,7 @@
         self.dependencies = DependencyGraph()
         self.chunks = ChunkTable()
         self.unsettled_writes = UnsettledWrites()
+        self.errors = JobErrors()
         # Versions of cancellations that are known from a peer or from a record version that is not applied yet.
         self.peer_cancellations: dict[str, int] = {}
 
@@ -75,6 +77,15 @@
                 job.deferred_record = StoredValue(value, version)
             self._apply_cancellation_from_value(job_id, value, version)
             return
+        try:
+            self._apply_newer_record(job, value, version)
+        except Exception:  # noqa: BLE001 - recorded with its traceback
+            job.record_unreadable = True
+            self.errors.record(job_id, JobOperation.APPLY_RECORD)
+
+    def _apply_newer_record(self, job: Job, value: object, version: int) -> None:
+        """Load a job from a newer record, and update what depends on it."""
+        job_id = job.job_id
         previous = list(job.allocations.values())
         if not self._load_record(job, value, version):
             return
@@ -170,10 +181,14 @@
         `finish_write`, whatever the outcome of that write.
         """
         for job in list(self.open_jobs.values()):
-            if job.write_in_flight:
-                self.unsettled_writes.add(job)
-            elif job.has_unsaved_changes:
-                self.revert_job(job)
+            self.revert_decisions(job)
+
+    def revert_decisions(self, job: Job) -> None:
+        """Revert the unsaved decisions about one job, now or once a write that is under way has ended."""
+        if job.write_in_flight:
+            self.unsettled_writes.add(job)
+        elif job.has_unsaved_changes:
+            self.revert_job(job)
 
     def finish_write(self, job: Job, outcome_known: bool) -> None:
         """Revert a job to its stored state after a write, if decisions became void while the write was under way."""
--- a/hookwall/jobs/job_writer.py
+++ b/hookwall/jobs/job_writer.py
@@ -13,6 +13,7 @@
 from hookwall.jobs.chunked_commit import ChunkGuard, commit_with_chunks
 from hookwall.jobs.conflict_resolution import ConflictResolver, DelegationPreconditions
 from hookwall.jobs.job import OPEN, Job, jobs_to_write
+from hookwall.jobs.job_errors import JobOperation
 from hookwall.jobs.job_table import JobTable
 from hookwall.jobs.leadership_view import LeadershipView
 from hookwall.jobs.start_record_budget import StartRecordBudget
@@ -151,12 +152,14 @@
     # -- one write ---------------------------------------------------------------------------------
 
     def _prepare(self, job: Job) -> PendingWrite | None:
-        """Prepare the write of a job. Return None if its record does not fit in any form."""
+        """Prepare the write of a job. Return None if its record can't be encoded, or does not fit in any form."""
         try:
             return PendingWrite.prepare(job, self.store.max_value_bytes if self.packing_enabled() else None)
         except RecordTooLargeError:
             log.error("job record does not fit the store: job=%s", job.job_id)
-            return None
+        except Exception:  # noqa: BLE001 - recorded with its traceback
+            self.table.errors.record(job.job_id, JobOperation.ENCODE_RECORD)
+        return None
 
     def _begin_batch(self, jobs: list[Job]) -> list[PendingWrite]:
         """Begin the writes of the first jobs, up to the limits of one transaction.
--- a/hookwall/protocol/job_messages.py
+++ b/hookwall/protocol/job_messages.py
@@ -3,6 +3,7 @@
 Error texts use the field names that users see.
 """
 
+import json
 import math
 import re
 from typing import Annotated
@@ -87,12 +88,29 @@
     try:
         spec = _decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise MalformedMessageError(str(error)) from error
+        raise MalformedMessageError(_out_of_range_amount(body) or str(error)) from error
     _check_names(spec)
     _check_amounts(spec)
     return _without_duplicate_dependencies(spec)
 
 
+def _out_of_range_amount(body: bytes) -> str | None:
+    """Return what is wrong with a submission that contains a number beyond the range of a double, naming its field.
+
+    msgspec refuses such a number without naming the field. Return None if there is no such number.
+    """
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+    if not isinstance(fields, dict):
+        return None
+    for name, value in fields.items():
+        if isinstance(value, float) and not math.isfinite(value):
+            return f"{name}: number out of range"
+    return None
+
+
 def _check_names(spec: JobSpec) -> None:
     if not JOB_ID_PATTERN.match(spec.job_id):
         raise MalformedMessageError("ref: not a job id")
@@ -115,9 +133,6 @@
 
 
 def _check_amounts(spec: JobSpec) -> None:
-    for amount in (spec.cpus, spec.gpus, spec.memory_gb, spec.image_gb, spec.estimated_duration_s):
-        if not math.isfinite(amount):
-            raise MalformedMessageError("an amount is not finite")
     if spec.cpus == 0 and spec.gpus == 0:
         raise MalformedMessageError("cores: a task takes neither cores nor cards")
 
--- a/hookwall/scheduling/broken_gangs.py
+++ b/hookwall/scheduling/broken_gangs.py
@@ -11,6 +11,7 @@
 
 from hookwall.jobs.allocation import Allocation
 from hookwall.jobs.job import OPEN, Job
+from hookwall.jobs.job_errors import JobOperation
 from hookwall.jobs.job_table import JobTable
 from hookwall.workers.fleet import Fleet
 from hookwall.workers.machine import MachinePhase
@@ -38,8 +39,12 @@
         """Stop the tasks of broken gangs, except those whose image fetches are worth keeping."""
         self._regrouping = {job_id for job_id in self._regrouping if job_id in self.table.open_jobs}
         for job in self.table.open_jobs.values():
-            if _is_broken(job):
+            if not _is_broken(job):
+                continue
+            try:
                 self._stop_tasks(job, now)
+            except Exception:  # noqa: BLE001 - recorded with its traceback
+                self.table.errors.record(job.job_id, JobOperation.SCHEDULE)
 
     def _stop_tasks(self, job: Job, now: float) -> None:
         """Stop the tasks of one broken gang; if fetches are kept, its machines are reserved as its tasks end."""
--- a/hookwall/scheduling/fit.py
+++ b/hookwall/scheduling/fit.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from hookwall.jobs.job import Job
+from hookwall.jobs.job_errors import JobOperation
 from hookwall.protocol.cloud_messages import Catalog, MachineType
 from hookwall.protocol.job_messages import JobSpec
 from hookwall.workers.fleet import Fleet
@@ -29,15 +30,25 @@
     """Return how the job fits the machine types of the current catalog; the result is cached in the job."""
     cached = job.machine_type_fit
     if not isinstance(cached, TaskFit) or cached.catalog is not fleet.catalog:
-        cached = job.machine_type_fit = _compute_fit(job, fleet)
+        try:
+            cached = _compute_fit(job, fleet)
+        except Exception:  # noqa: BLE001 - recorded with its traceback
+            fleet.table.errors.record(job.job_id, JobOperation.SCHEDULE)
+            cached = _fits_no_machine(fleet)
+        job.machine_type_fit = cached
     return cached
 
 
+def _fits_no_machine(fleet: Fleet) -> TaskFit:
+    """Return the fit of a job of which nothing is known."""
+    return TaskFit(fleet.catalog, 0.0, needs_whole_machine=False, startup_s=0.0)
+
+
 def _compute_fit(job: Job, fleet: Fleet) -> TaskFit:
     """Compute the fit over all machine types that the job may use; a job without a specification fits none."""
     spec = job.spec
     if spec is None:
-        return TaskFit(fleet.catalog, 0.0, needs_whole_machine=False, startup_s=0.0)
+        return _fits_no_machine(fleet)
     allowed = [
         (index, machine_type)
         for index, machine_type in enumerate(fleet.machine_types)
--- a/hookwall/scheduling/quotas.py
+++ b/hookwall/scheduling/quotas.py
@@ -7,7 +7,7 @@
 from hookwall.jobs.job import OPEN, Job
 from hookwall.jobs.job_table import JobTable
 from hookwall.scheduling.round_state import ResourceUsage, RoundState
-from hookwall.workers.resources import CAPACITY_TOLERANCE, ROUNDING_TOLERANCE
+from hookwall.workers.resources import CAPACITY_TOLERANCE, ROUNDING_TOLERANCE, countable_amount
 
 
 class Quotas:
@@ -45,9 +45,9 @@
         assert spec is not None
         count = job.task_count
         if team.gpus_max and spec.gpus > 0:
-            count = min(count, int((team.gpus_max - usage.gpus + CAPACITY_TOLERANCE) / spec.gpus))
+            count = min(count, int((team.gpus_max - usage.gpus + CAPACITY_TOLERANCE) / countable_amount(spec.gpus)))
         if team.cpus_max and spec.cpus > 0:
-            count = min(count, int((team.cpus_max - usage.cpus + CAPACITY_TOLERANCE) / spec.cpus))
+            count = min(count, int((team.cpus_max - usage.cpus + CAPACITY_TOLERANCE) / countable_amount(spec.cpus)))
         return max(0, count)
 
 
--- a/hookwall/scheduling/scheduler.py
+++ b/hookwall/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 
 from hookwall.config.platform import PlatformParameters, ServiceObjective
 from hookwall.jobs.job import OPEN, Job
+from hookwall.jobs.job_errors import JobOperation
 from hookwall.jobs.job_table import JobTable
 from hookwall.jobs.start_record_budget import StartRecordBudget, recordable_start_count
 from hookwall.scheduling.broken_gangs import BrokenGangs
@@ -42,6 +43,7 @@
 MAX_ROUND_S = 0.12  # heartbeats and health checks wait while a round runs
 MIN_CORE_SHARE = 0.01
 MAX_UNSTORED_JOBS = 60  # a round stops above this number of jobs whose starts are not stored yet
+ERROR_RETRY_DELAY_S = 10.0  # until a job whose scheduling failed is considered again
 RESERVE_AFTER_S = 1.0  # how long a gang waits before machines are reserved for it
 
 
@@ -167,10 +169,24 @@
             if unstored > MAX_UNSTORED_JOBS:
                 return key
             was_unstored = job.has_unsaved_starts
-            self._serve_job(job, state, not key.beyond_guarantee, now)
+            try:
+                self._serve_job(job, state, not key.beyond_guarantee, now)
+            except Exception:  # noqa: BLE001 - recorded with its traceback
+                self._abandon(job, now)
+                return queue[position + 1].key if position + 1 < len(queue) else None
             unstored += job.has_unsaved_starts and not was_unstored
         return None
 
+    def _abandon(self, job: Job, now: float) -> None:
+        """Void what was decided for a job before an error; the round's view of the cluster may be wrong from then on.
+
+        So the round must end, and the next one goes on with the jobs after this one.
+        """
+        self.table.errors.record(job.job_id, JobOperation.SCHEDULE)
+        job.retry_not_before = now + ERROR_RETRY_DELAY_S
+        self.waiting.pop(job.job_id, None)
+        self.table.revert_decisions(job)
+
     # -- single jobs ---------------------------------------------------------------------------
 
     def _serve_job(self, job: Job, state: RoundState, within_guarantee: bool, now: float) -> None:
--- a/hookwall/scheduling/serving_order.py
+++ b/hookwall/scheduling/serving_order.py
@@ -7,7 +7,9 @@
 from typing import NamedTuple
 
 from hookwall.jobs.job import DONE, OPEN, Job
+from hookwall.jobs.job_errors import JobOperation
 from hookwall.jobs.job_table import JobTable
+from hookwall.protocol.job_messages import JobSpec
 from hookwall.scheduling.round_state import QueuedJob
 
 
@@ -42,16 +44,27 @@
     for job in table.open_jobs.values():
         if job.phase != OPEN or job.spec is None or now < job.retry_not_before:
             continue
-        is_partly_placed_gang = job.spec.gang and (job.allocations or job.unrecorded_reports)
-        if not job.pending_tasks(1) or is_partly_placed_gang:
+        try:
+            is_pending = _has_tasks_to_place(job, job.spec)
+        except Exception:  # noqa: BLE001 - recorded with its traceback
+            table.errors.record(job.job_id, JobOperation.SCHEDULE)
+            is_pending = False
+        if is_pending:
+            pending.append(job)
+        else:
             waiting.pop(job.job_id, None)
-            continue
-        pending.append(job)
     for job_id in [job_id for job_id in waiting if job_id not in table.open_jobs]:
         del waiting[job_id]
     return pending
 
 
+def _has_tasks_to_place(job: Job, spec: JobSpec) -> bool:
+    """Whether tasks of a job may be placed now; a gang is placed only when none of its tasks may be on a machine."""
+    if spec.gang and (job.allocations or job.unrecorded_reports):
+        return False
+    return bool(job.pending_tasks(1))
+
+
 def finish_jobs(table: JobTable, time_of_day: Callable[[], float]) -> None:
     """Finish the jobs whose tasks are all done."""
     for job in table.open_jobs.values():
--- a/hookwall/workers/resources.py
+++ b/hookwall/workers/resources.py
@@ -8,9 +8,18 @@
 
 CAPACITY_TOLERANCE = 1e-6  # tolerance for free capacity, in which rounding errors accumulate
 ROUNDING_TOLERANCE = 1e-9  # for values that are compared as configured, and shares of counts that are rounded
+SMALLEST_AMOUNT = 1e-9  # a task that takes less of a resource is counted as if it took this much of it
 UNKNOWN_ZONE = -1  # the zone of a machine that only job records name
 
 
+def countable_amount(amount: float) -> float:
+    """Return the amount of a resource by which free capacity is divided to count tasks; 0 if none is needed.
+
+    Users may submit amounts so close to 0 that the quotient is infinite, which is no number of tasks.
+    """
+    return max(amount, SMALLEST_AMOUNT) if amount > 0 else 0.0
+
+
 @dataclass(slots=True)
 class FreeCapacity:
     """The free CPUs, GPUs and GB of memory of one machine. `cached_images` contains image indices."""
@@ -61,6 +70,12 @@
     service: bool = False
     tasks_by_zone: dict[int, int] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Make the amounts countable."""
+        self.cpus = countable_amount(self.cpus)
+        self.gpus = countable_amount(self.gpus)
+        self.memory = countable_amount(self.memory)
+
 
 def placeable_task_count(request: ResourceRequest, machine: FreeCapacity) -> int:
     """Return how many of the requested tasks fit into the machine's free capacity."""
--- a/hookwall/workers/task_reconciliation.py
+++ b/hookwall/workers/task_reconciliation.py
@@ -5,9 +5,11 @@
 """
 
 import logging
+from typing import NamedTuple
 
 from hookwall.jobs.allocation import Allocation
 from hookwall.jobs.job import CANCELLED, OPEN, Job
+from hookwall.jobs.job_errors import JobOperation
 from hookwall.protocol import heartbeat_messages
 from hookwall.protocol.heartbeat_messages import Command, Heartbeat, TaskId, TaskStatus
 from hookwall.workers.fleet_transitions import FleetTransitions
@@ -19,6 +21,14 @@
 STOP_RETRY_S = 1.5
 
 
+class ReportedTask(NamedTuple):
+    """A task in a heartbeat, with the allocation of the reported attempt if there is one."""
+
+    task_id: TaskId
+    status: TaskStatus
+    allocated: AllocatedTask | None
+
+
 class TaskReconciliation:
     """Chooses the commands that answer a heartbeat, and releases allocations whose tasks it proves to be gone."""
 
@@ -36,26 +46,38 @@
             task_id = heartbeat_messages.parse_task_id(status.task_id)
             if task_id is None:
                 continue
-            allocated = machine.allocations.get(task_id)
-            if allocated is not None and allocated.allocation.attempt != status.attempt:
-                allocated = None  # the allocation is for another attempt of this task
-            if status.phase == "exited":
-                if self._apply_exit(machine, task_id, status, allocated, commands):
-                    present.add(task_id)
-                continue
-            present.add(task_id)
-            if allocated is None:
+            report = ReportedTask(task_id, status, _matching_allocation(machine, task_id, status))
+            try:
+                is_present = self._apply_report(machine, report, commands, now)
+            except Exception:  # noqa: BLE001 - recorded with its traceback
+                self.fleet.table.errors.record(task_id.job_id, JobOperation.PROCESS_REPORT)
+                is_present = True
+            if is_present:
+                present.add(task_id)
+            if report.allocated is None and status.phase != "exited":
                 unrecorded.add(task_id)
-                commands.append(heartbeat_messages.stop_command(status.task_id, status.attempt, 0.0))
-            else:
-                self._apply_status(machine, status, allocated, commands, now)
         self.fleet.set_unrecorded_tasks(machine, unrecorded)
         has_current_token = heartbeat.fencing_token == self.fleet.fencing_token
         for task_id, (job, allocation) in list(machine.allocations.items()):
-            if task_id not in present:
+            if task_id in present:
+                continue
+            try:
                 self._reconcile_absent(machine, job, allocation, has_current_token, commands)
+            except Exception:  # noqa: BLE001 - recorded with its traceback
+                self.fleet.table.errors.record(task_id.job_id, JobOperation.PROCESS_REPORT)
         return commands
 
+    def _apply_report(self, machine: Machine, report: "ReportedTask", commands: list[Command], now: float) -> bool:
+        """Apply the report of one task; return False if the worker may forget the task, as nothing names it."""
+        status = report.status
+        if status.phase == "exited":
+            return self._apply_exit(machine, report.task_id, status, report.allocated, commands)
+        if report.allocated is None:
+            commands.append(heartbeat_messages.stop_command(status.task_id, status.attempt, 0.0))
+        else:
+            self._apply_status(machine, status, report.allocated, commands, now)
+        return True
+
     def _apply_status(
         self, machine: Machine, status: TaskStatus, allocated: AllocatedTask, commands: list[Command], now: float
     ) -> None:
@@ -138,6 +160,14 @@
         return machine.phase is MachinePhase.UP and machine.name not in self.fleet.cordoned
 
 
+def _matching_allocation(machine: Machine, task_id: TaskId, status: TaskStatus) -> AllocatedTask | None:
+    """Return the allocation of the reported attempt; None if there is none, or it is for another attempt."""
+    allocated = machine.allocations.get(task_id)
+    if allocated is None or allocated.allocation.attempt != status.attempt:
+        return None
+    return allocated
+
+
 def _stop_has_effect(allocation: Allocation, status: TaskStatus) -> bool:
     """Whether a stop command has an effect on the task.
 
