--- a/hookwall/jobs/allocation.py
+++ b/hookwall/jobs/allocation.py
@@ -29,6 +29,7 @@
         "created_at",
         "epoch",
         "finished",
+        "launch_token",
         "machine",
         "reported_phase",
         "reserves_machine",
@@ -53,4 +54,5 @@
         self.stop_grace_s: float | None = None  # None: the task is not to be stopped
         self.stop_sent_at = DISTANT_PAST
         self.finished = False
+        self.launch_token = 0  # the highest token with which this leader may have sent its launch; 0: none
         self.reserves_machine = False  # whether its machine stays reserved for the job once the task has ended
--- a/hookwall/jobs/job_writer.py
+++ b/hookwall/jobs/job_writer.py
@@ -62,6 +62,10 @@
     """Do nothing; the default callback."""
 
 
+def _ignore_revision(_revision: int) -> None:
+    """Do nothing; the default for owners that send no commands."""
+
+
 class JobWriter:
     """Writes jobs that have changed, in order of priority, while this node leads."""
 
@@ -76,12 +80,13 @@
         packing_enabled: Callable[[], bool] = _packing_disabled,
         on_decisions_stored: Callable[[], None] = _no_action,
         request_full_read: Callable[[], None] = _no_action,
+        on_committed: Callable[[int], None] = _ignore_revision,
     ) -> None:
         """Write the jobs of `table` to `store`.
 
         `reload_record` reads the record of a key again; `packing_enabled` returns whether all nodes can read packed
         records; `on_decisions_stored` is called after each successful write; `request_full_read` lets the watch read
-        all keys again.
+        all keys again; `on_committed` is called with the revision of each successful write of the present term.
         """
         self.table = table
         self.store = store
@@ -90,6 +95,7 @@
         self.clock = clock
         self.packing_enabled = packing_enabled
         self.on_decisions_stored = on_decisions_stored
+        self.on_committed = on_committed
         self.conflicts = ConflictResolver(leadership, delegation_guard, reload_record, request_full_read, clock)
         self.chunk_collector = ChunkCollector(table, store, leadership, clock)
         self.write_requested = asyncio.Event()
@@ -196,6 +202,8 @@
                 outcome = await self._try_commit(fencing_token, batch)
         finally:  # also after an unexpected error, or these jobs would count as being written for good
             still_leader = self.leadership.fencing_token == fencing_token and self.leadership.role is Role.LEADER
+            if still_leader and outcome.version:
+                self.on_committed(outcome.version)
             for write in batch:
                 self._finish(write, outcome, still_leader)
         if still_leader:
--- a/hookwall/jobs/unsettled_writes.py
+++ b/hookwall/jobs/unsettled_writes.py
@@ -9,10 +9,13 @@
 conditional, or when the store has stated that it has not executed the write.
 """
 
+import logging
 from collections.abc import Mapping
 
 from hookwall.jobs.job import Job
 
+log = logging.getLogger(__name__)
+
 
 class UnsettledWrites:
     """The jobs whose records may still change by a write that contains void decisions."""
@@ -23,6 +26,7 @@
 
     def add(self, job: Job) -> None:
         """Add a job whose write is under way while its decisions become void."""
+        log.info("write outcome awaited: job=%s replaces=%d", job.job_id, job.version)
         self._replaced_versions[job.job_id] = job.version
 
     def concerns(self, job: Job) -> bool:
--- a/hookwall/node/composition.py
+++ b/hookwall/node/composition.py
@@ -167,6 +167,7 @@
             self.clock,
             packed_names=self.storage_version.allows_dependencies,
             numbered_names=self.storage_version.allows_numbered_machines,
+            watched_revision=lambda: self.watch_progress.watched_revision,
         )
 
     def _build_delegation_guard(self) -> DelegationGuard:
@@ -191,6 +192,7 @@
             packing_enabled=self.storage_version.allows_dependencies,
             on_decisions_stored=self.round_requested.set,
             request_full_read=self.watch_progress.request_full_read,
+            on_committed=self.fleet.tokens.record_commit,
         )
 
     def _build_job_service(self) -> JobService:
--- a/hookwall/scheduling/broken_gangs.py
+++ b/hookwall/scheduling/broken_gangs.py
@@ -9,6 +9,8 @@
 machines, unless it runs. These machines stay reserved until the gang is placed again, which makes the next attempt run.
 """
 
+import logging
+
 from hookwall.jobs.allocation import Allocation
 from hookwall.jobs.job import OPEN, Job
 from hookwall.jobs.job_errors import JobOperation
@@ -16,6 +18,8 @@
 from hookwall.workers.fleet import Fleet
 from hookwall.workers.machine import MachinePhase
 
+log = logging.getLogger(__name__)
+
 
 class BrokenGangs:
     """Stops what is left of broken gangs, and knows for which of them machines stay reserved meanwhile."""
@@ -50,8 +54,10 @@
         """Stop the tasks of one broken gang; if fetches are kept, its machines are reserved as its tasks end."""
         remaining = list(job.allocations.values())
         kept = [allocation for allocation in remaining if self._keeps_running(allocation, now)]
-        if kept:
+        if kept and job.job_id not in self._regrouping:
             self._regrouping.add(job.job_id)
+            machines = ",".join(sorted({allocation.machine for allocation in kept}))
+            log.info("image fetches kept: job=%s machines=%s", job.job_id, machines)
         if self.holds_reservations(job.job_id):
             for allocation in remaining:
                 allocation.reserves_machine = True
--- a/hookwall/workers/fleet.py
+++ b/hookwall/workers/fleet.py
@@ -59,10 +59,14 @@
         self.deleted_names.clear()
         self.lease_expiry.expired_machines.clear()
         self.end_validity()
-        self.fencing_token = token
+        self.tokens.begin_term(token)
         for job in self.table.open_jobs.values():
             self.attach_allocations(job)
 
+    def response_token(self, machine: str) -> int:
+        """Return the token of the response to a heartbeat of this machine that was just processed."""
+        return self.tokens.current(self.machines[machine])
+
     def process_heartbeat(self, heartbeat: Heartbeat) -> list[Command] | None:
         """Apply a heartbeat and return the commands of the response, or None if the heartbeat is outdated."""
         return self.heartbeat_handler.process_heartbeat(heartbeat)
--- a/hookwall/workers/fleet_state.py
+++ b/hookwall/workers/fleet_state.py
@@ -9,6 +9,7 @@
 
 from hookwall.config.platform import PlatformParameters
 from hookwall.protocol.cloud_messages import Catalog, MachineType
+from hookwall.workers.command_tokens import CommandTokens
 from hookwall.workers.machine import SCHEDULABLE_PHASES, Machine, MachineDescription, NameIndex
 from hookwall.workers.resources import UNKNOWN_ZONE, FreeCapacity
 
@@ -37,7 +38,7 @@
         self.on_demand_images: set[int] = set()  # images of jobs that can't run on spot instances
         self.cordoned: set[str] = set()  # machines that get no new work because they are being drained (drains/)
         self.in_maintenance: set[str] = set()  # cordoned machines that are empty; their workers may be unresponsive
-        self.fencing_token = 0
+        self.tokens = CommandTokens()
         self.valid_since: float | None = None  # time since which no other node can have answered a worker
 
     # -- leadership validity -------------------------------------------------------------------
--- a/hookwall/workers/fleet_transitions.py
+++ b/hookwall/workers/fleet_transitions.py
@@ -79,6 +79,8 @@
         job.zone_index = -1 if spec.zone is None else self.zone_names.index_of(spec.zone)
         for allocation in job.allocations.values():
             machine = self.ensure_machine(allocation.machine, "", "", False)
+            # An allocation that was released and is now read again may have been launched with any earlier token.
+            allocation.launch_token = max(allocation.launch_token, machine.launch_token)
             self._attach(job, allocation, machine)
 
     def replace_allocations(self, job: Job, previous: Iterable[Allocation]) -> None:
--- a/hookwall/workers/heartbeat_handler.py
+++ b/hookwall/workers/heartbeat_handler.py
@@ -44,7 +44,7 @@
         if heartbeat.epoch > machine.epoch:
             self._begin_epoch(machine, heartbeat.epoch)
         machine.sequence = heartbeat.sequence
-        machine.fencing_token = max(machine.fencing_token, heartbeat.fencing_token)
+        self.fleet.tokens.adopt(machine, heartbeat.fencing_token)
         machine.last_response_at = now
         self._apply_preemption_notice(machine, heartbeat, now)
         commands = self.tasks.reconcile(machine, heartbeat, now)
@@ -76,7 +76,7 @@
         belongs to the same epoch as the previous heartbeat, and arrives sooner than it could if the worker had waited
         for a response until the time-out.
         """
-        if heartbeat.fencing_token != self.fleet.fencing_token or heartbeat.epoch != machine.epoch:
+        if not self.fleet.tokens.is_of_this_term(heartbeat.fencing_token) or heartbeat.epoch != machine.epoch:
             if machine.receives_responses:
                 log.info("heartbeat shows no response received: machine=%s", machine.name)
             # A worker can't have received a response before its first heartbeat. A worker that has just started has no
--- a/hookwall/workers/heartbeat_router.py
+++ b/hookwall/workers/heartbeat_router.py
@@ -87,14 +87,16 @@
         if commands is None:
             return UNAVAILABLE
         self.on_heartbeat_processed()
-        return HeartbeatReply(200, msgspec.json.encode(HeartbeatResponse(self.leadership.fencing_token, commands)))
+        token = self.fleet.response_token(heartbeat.machine)
+        return HeartbeatReply(200, msgspec.json.encode(HeartbeatResponse(token, commands)))
 
     async def _renew_lease(self, heartbeat: Heartbeat) -> HeartbeatReply:
         """Renew the lease of a worker that has lost contact with the leader, or redirect the worker."""
         commands = await self.lease_delegate.renew_lease(heartbeat)
         if commands is None:
             return self._redirect(self.leadership.leader_name())
-        return HeartbeatReply(200, msgspec.json.encode(HeartbeatResponse(self.lease_delegate.fencing_token, commands)))
+        token = self.lease_delegate.response_token(heartbeat)
+        return HeartbeatReply(200, msgspec.json.encode(HeartbeatResponse(token, commands)))
 
     def _redirect(self, leader: str | None) -> HeartbeatReply:
         """Return a redirect that names the leader, if another node is known to lead."""
--- a/hookwall/workers/lease_delegate.py
+++ b/hookwall/workers/lease_delegate.py
@@ -19,12 +19,12 @@
 from hookwall.jobs.job_table import JobTable
 from hookwall.leadership.leadership import Leadership
 from hookwall.leadership.roles import LeaseMode, Role
-from hookwall.protocol import heartbeat_messages
 from hookwall.protocol.heartbeat_messages import Command, Heartbeat
 from hookwall.storage import keys
 from hookwall.storage.client import KeyValueClient
 from hookwall.storage.entries import Precondition, Put
 from hookwall.storage.errors import OutcomeUnknownError, PreconditionFailedError, RequestRejectedError
+from hookwall.workers import cancelled_tasks
 from hookwall.workers.delegation_record import EncodedDelegation, NameForm, encode_machines
 from hookwall.workers.redirect_schedule import RedirectSchedule
 
@@ -64,6 +64,7 @@
         clock: Callable[[], float],
         packed_names: Callable[[], bool] = _not_supported,  # whether all nodes can read names in packed form
         numbered_names: Callable[[], bool] = _not_supported,  # whether all nodes can read names in numbered form
+        watched_revision: Callable[[], int] = lambda: 0,  # up to which this node has seen all changes of the leader key
     ) -> None:
         """Start without any delegation."""
         self.key = keys.LEASE_DELEGATE_PREFIX + node_name
@@ -74,6 +75,7 @@
         self.clock = clock
         self.packed_names = packed_names
         self.numbered_names = numbered_names
+        self.watched_revision = watched_revision
         self.fencing_token = 0
         self.key_version: int | None = None  # version of this node's key; None: unknown
         self.session_lease: int | None = None
@@ -91,8 +93,9 @@
     def may_renew_for(self, heartbeat: Heartbeat) -> bool:
         """Whether a worker has lost contact with a leader that still leads according to the key-value store.
 
-        The worker's fencing token may be older than the leader key, because a leader that the worker never contacted
-        may have taken over on the other side of a partition.
+        The worker's token may be older than the leader key, because a leader that the worker never contacted may have
+        taken over on the other side of a partition. A newer token is one of the same leader (`command_tokens`) if this
+        node has watched all changes up to it; otherwise it may be one of a later leader.
         """
         leadership = self.leadership
         leader_key = leadership.leader_key
@@ -101,7 +104,7 @@
             leadership.role in (Role.FOLLOWER, Role.CANDIDATE)  # a partitioned node stands in elections it can't win
             and leader_key.version > 0
             and leader_key.leader != leadership.node_name
-            and heartbeat.fencing_token <= leader_key.version
+            and heartbeat.fencing_token <= max(leader_key.version, self.watched_revision())
             and bool(heartbeat.tasks)
             and self.store.has_recent_response()
             and self.cancellations_current()
@@ -151,16 +154,11 @@
             await self.store_delegation()
         if not (self.covers(machine) and self.may_renew_for(heartbeat)):
             return None
-        return self._stop_commands(heartbeat)
-
-    def _stop_commands(self, heartbeat: Heartbeat) -> list[Command]:
-        """Return stop commands for the reported tasks of cancelled jobs."""
-        commands = []
-        for status in heartbeat.tasks:
-            task_id = heartbeat_messages.parse_task_id(status.task_id)
-            if task_id is not None and self.table.is_cancelled(task_id.job_id) and status.phase != "exited":
-                commands.append(heartbeat_messages.stop_command(status.task_id, status.attempt, 0.0))
-        return commands
+        return cancelled_tasks.stop_commands(heartbeat, self.table.is_cancelled)
+
+    def response_token(self, heartbeat: Heartbeat) -> int:
+        """Return the token of a response that renews a lease: not lower than any that the worker has seen."""
+        return max(self.fencing_token, heartbeat.fencing_token)
 
     # -- this node's key -----------------------------------------------------------------------
 
--- a/hookwall/workers/machine.py
+++ b/hookwall/workers/machine.py
@@ -73,7 +73,6 @@
         "consecutive_errors",
         "described_as",
         "epoch",
-        "fencing_token",
         "first_heartbeat_at",
         "first_known_at",
         "free_capacity",
@@ -82,6 +81,7 @@
         "last_listed_at",
         "last_on_demand_work_at",
         "last_response_at",
+        "launch_token",
         "listed_running_at",
         "may_run_cancelled_tasks",
         "name",
@@ -92,6 +92,7 @@
         "receives_responses",
         "rejects_tasks_until",
         "reserved_for",
+        "response_token",
         "sequence",
         "spot",
         "type",
@@ -128,7 +129,8 @@
         self.first_heartbeat_at = -1.0
         self.epoch = 0
         self.sequence = -1
-        self.fencing_token = 0
+        self.response_token = 0  # the highest token that was sent to the worker, or seen by it, in this term
+        self.launch_token = 0  # the highest token with which a launch was sent
         self.last_response_at = DISTANT_PAST  # when this leader last answered a heartbeat
         self.receives_responses = False  # whether its heartbeats show that this leader's responses reach it
         self.acknowledged_at = DISTANT_PAST  # when a heartbeat last showed that
--- a/hookwall/workers/task_reconciliation.py
+++ b/hookwall/workers/task_reconciliation.py
@@ -57,14 +57,18 @@
             if report.allocated is None and status.phase != "exited":
                 unrecorded.add(task_id)
         self.fleet.set_unrecorded_tasks(machine, unrecorded)
-        has_current_token = heartbeat.fencing_token == self.fleet.fencing_token
+        launched: list[Allocation] = []
         for task_id, (job, allocation) in list(machine.allocations.items()):
             if task_id in present:
                 continue
             try:
-                self._reconcile_absent(machine, job, allocation, has_current_token, commands)
+                if self._reconcile_absent(machine, job, allocation, heartbeat.fencing_token):
+                    launched.append(allocation)
+                    commands.append(heartbeat_messages.launch_command(job.job_id, allocation.task, allocation.attempt))
             except Exception:  # noqa: BLE001 - recorded with its traceback
                 self.fleet.table.errors.record(task_id.job_id, JobOperation.PROCESS_REPORT)
+        for allocation in launched:
+            allocation.launch_token = machine.launch_token = self.fleet.tokens.current(machine)
         return commands
 
     def _apply_report(self, machine: Machine, report: "ReportedTask", commands: list[Command], now: float) -> bool:
@@ -127,31 +131,47 @@
         if job is not None and job.stored_starts.get(task_id.task) == (machine.name, status.attempt):
             return True
         # The worker may forget the task only after the record no longer names this start. Otherwise, a leader without
-        # knowledge of the exit would launch the same attempt again.
+        # knowledge of the exit would launch the same attempt again. And it may do so only with a higher token than that
+        # of the launch. Otherwise, a late copy of the launch would start the attempt again.
+        if not self.fleet.tokens.raise_above(machine, machine.launch_token):
+            return True
         commands.append(heartbeat_messages.forget_command(status.task_id, status.attempt))
         return allocated is not None
 
-    def _reconcile_absent(
-        self, machine: Machine, job: Job, allocation: Allocation, has_current_token: bool, commands: list[Command]
-    ) -> None:
-        """Release an allocation whose task the heartbeat does not report, or send its launch command."""
+    def _reconcile_absent(self, machine: Machine, job: Job, allocation: Allocation, reported_token: int) -> bool:
+        """Release an allocation whose task the heartbeat does not report; return True if it is to be launched instead.
+
+        `reported_token` is the highest token that the worker has seen.
+        """
         if not self._should_run(machine, job, allocation):
             # The heartbeat shows that no launch of this leader has started the task, and a worker with this leader's
             # fencing token drops responses of older leaders.
-            if has_current_token:
-                self.fleet.release_allocation(job, allocation, "not reported")
-            return
+            self._release_absent(machine, job, allocation, reported_token, "not reported")
+            return False
         if job.stored_starts.get(allocation.task) != (machine.name, allocation.attempt):
-            return
+            return False
         if allocation.epoch != machine.epoch:
             self.fleet.release_allocation(job, allocation, "another epoch")
-            return
-        if allocation.reported_phase and has_current_token:
+            return False
+        if allocation.reported_phase and self.fleet.tokens.is_of_this_term(reported_token):
             # The task was reported before and is missing now without an exit, so it can't be on the machine.
-            self.fleet.release_allocation(job, allocation, "no longer reported")
+            self._release_absent(machine, job, allocation, reported_token, "no longer reported")
+            return False
+        return job.may_launch(allocation)
+
+    def _release_absent(
+        self, machine: Machine, job: Job, allocation: Allocation, reported_token: int, reason: str
+    ) -> None:
+        """Release an allocation whose task is not on the machine, once no launch of it can be executed there any more.
+
+        A late copy of its launch is dropped only by a worker that has seen a higher token than that of the launch.
+        """
+        if not self.fleet.tokens.is_of_this_term(reported_token):
             return
-        if job.may_launch(allocation):
-            commands.append(heartbeat_messages.launch_command(job.job_id, allocation.task, allocation.attempt))
+        if reported_token > allocation.launch_token:
+            self.fleet.release_allocation(job, allocation, reason)
+        elif not self.fleet.tokens.raise_above(machine, allocation.launch_token):
+            job.has_unsaved_changes = True  # the next write of this leader is a higher token
 
     def _should_run(self, machine: Machine, job: Job, allocation: Allocation) -> bool:
         """Whether the task should run on the machine."""
--- a/tests/harness/leader_fixture.py
+++ b/tests/harness/leader_fixture.py
@@ -34,11 +34,12 @@
         self.table = JobTable(clock, lambda job, previous: self.fleet.replace_allocations(job, previous))
         self.fleet = Fleet(params, self.table, clock)
         self.fleet.set_catalog(CATALOG)
-        self.fleet.fencing_token = 5
+        self.fleet.tokens.begin_term(5)
         self.fleet.begin_validity(clock())
         self.scheduler = Scheduler(params, self.table, self.fleet, clock, time_of_day=lambda: clock() - 1000.0)
         self.stamp = 10
         self.sequence_numbers: dict[str, int] = {}
+        self.tokens_seen: dict[str, int] = {}  # by machine: the token of the last response
 
     def submit(self, n: int = 1, **changes: Any) -> Job:
         """Apply the record of a new job that was submitted at `n` seconds; return the job."""
@@ -53,6 +54,7 @@
         for job in list(self.table.open_jobs.values()):
             if job.has_unsaved_changes:
                 self.stamp += 1
+                self.fleet.tokens.record_commit(self.stamp)
                 allocated = {a.task: (a.machine, a.attempt) for a in job.allocations.values()}
                 job.has_unsaved_changes = job.has_unsaved_starts = False
                 job.confirm_write(self.stamp, allocated, job.phase, job.done_count)
@@ -62,7 +64,7 @@
         self,
         name: str,
         tasks: Iterable[tuple[str, int, str, str | None]] = (),
-        token: int = 5,
+        token: int | None = None,
         tenure: int = 1,
         zone: str = "east",
         spot: bool = False,
@@ -72,9 +74,11 @@
         """Process a heartbeat; return the commands of the response as (action, task id, attempt).
 
         `tasks` are given as (id, attempt, phase, cause). `token` is the fencing token of the heartbeat, `tenure` its
-        epoch and `tick` its sequence number; without `tick` it has the next number. Return None if the worker receives
-        no response.
+        epoch and `tick` its sequence number; without `tick` it has the next number, and without `token` that of the
+        last response to the machine. Return None if the worker receives no response.
         """
+        if token is None:
+            token = self.tokens_seen.get(name, 5)
         if tick is None and name not in self.sequence_numbers:
             # The scheduler places tasks on a worker only after the worker has shown that it receives responses: by a
             # second heartbeat soon after the first.
@@ -99,4 +103,5 @@
         commands = self.fleet.process_heartbeat(heartbeat)
         if commands is None:
             return None
+        self.tokens_seen[name] = self.fleet.response_token(name)
         return [(command.action, command.task_id, command.attempt) for command in commands]
--- a/tests/harness/simulation.py
+++ b/tests/harness/simulation.py
@@ -19,7 +19,7 @@
 from harness.peer_link import PeerLink
 from harness.rules import JobState, RuleChecker
 from harness.users import UserRequests
-from harness.worker import STEP_S, FakeWorker, Task
+from harness.worker import STEP_S, FakeWorker, ReceivedResponse, Task
 from hookwall.config.operations import Operations
 from hookwall.config.platform import (
     CloudLimits,
@@ -76,6 +76,8 @@
         self.last_machine_number = 0
         self.background_tasks: set[asyncio.Task] = set()
         self.frozen: dict[str, asyncio.Event] = {}  # frozen nodes, each until its event is set
+        # After how many seconds a copy of a response arrives at its worker once more; None: no copy does.
+        self.copy_delay_s: Callable[[FakeWorker], float | None] = lambda worker: None
         self.on_step: list[Callable[[], None]] = []
         self.on_launch: list[Callable[[FakeWorker, str, int], None]] = []  # called when a worker executes a launch
         # Called when a running task ends or begins to save its last checkpoint.
@@ -245,6 +247,12 @@
         self.run_in_background(worker.run())
         return worker
 
+    def copy_response(self, worker: FakeWorker, response: ReceivedResponse) -> None:
+        """Let a copy of a response arrive later, if copies are made now."""
+        delay_s = self.copy_delay_s(worker)
+        if delay_s is not None:
+            self.loop.call_later(delay_s, worker.receive_copy, response)
+
     def advance_task(self, worker: FakeWorker, task_id: str, task: Task, now: float) -> None:
         """Advance a task when its image is pulled, its gang is complete, or it is done or has saved its checkpoint."""
         job_id, _, number = task_id.rpartition("/")
--- a/tests/harness/worker.py
+++ b/tests/harness/worker.py
@@ -4,7 +4,7 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from harness.image_fetches import ImageFetches
 
@@ -35,6 +35,13 @@
         return self.phase in ("waiting", "running", "saving")
 
 
+class ReceivedResponse(NamedTuple):
+    """A response that a worker has executed, of which a copy may arrive later."""
+
+    epoch: int  # that of the heartbeat to which it responded
+    fields: dict[str, Any]
+
+
 @dataclass
 class FakeWorker:
     """The fake worker of one machine."""
@@ -56,6 +63,7 @@
     powered_off: bool = False
     heartbeat_due_soon: bool = False
     sent_heartbeats: list[bytes] = field(default_factory=list)  # to be delivered again later, as delayed duplicates
+    responses: list[ReceivedResponse] = field(default_factory=list)  # those that reached its machine, in order
     reached: Callable[[str], bool] = lambda node: True
     image_fetches: ImageFetches | None = None  # None: each task has its image after `FETCH_S`
 
@@ -145,13 +153,25 @@
             await asyncio.sleep(RESPONSE_TIMEOUT_S)
             return None
         await asyncio.sleep(NETWORK_DELAY_S)
+        epoch = self.epoch
         response = await self.simulation.deliver_heartbeat(name, body)
         await asyncio.sleep(NETWORK_DELAY_S)
+        if response is not None and response[0] == 200:
+            self.responses.append(ReceivedResponse(epoch, json.loads(response[1])))
+            self.simulation.copy_response(self, self.responses[-1])
         if self.loses_responses:
             await asyncio.sleep(RESPONSE_TIMEOUT_S)
             return None
         return response
 
+    def receive_copy(self, response: ReceivedResponse) -> None:
+        """Receive a late copy of a response: it is dropped for a lower token or another epoch, and executed else."""
+        token = response.fields["mandate"]
+        if self.powered_off or response.epoch != self.epoch or token < self.fencing_token:
+            return
+        self.fencing_token = token
+        self.execute_commands(response.fields["orders"])
+
     def _renew_lease(self, sent_at: float, fields: dict[str, Any]) -> None:
         """Renew the lease from the time at which the heartbeat was sent, and execute the commands of the response."""
         if fields["mandate"] > self.fencing_token:
--- a/tests/workers/test_heartbeat_handler.py
+++ b/tests/workers/test_heartbeat_handler.py
@@ -13,7 +13,11 @@
     # A launch of an older leader could still reach a worker that has not seen the current token.
     cluster.beat("vm-1", token=4)
     assert job.allocations
-    cluster.beat("vm-1", token=5)
+    # A copy of the launch, which carried token 5, could still reach a worker that has not seen a higher one.
+    launch_token = job.allocations[0].launch_token
+    cluster.beat("vm-1", token=launch_token)
+    assert job.allocations and cluster.tokens_seen["vm-1"] > launch_token == 5
+    cluster.beat("vm-1")
     assert not job.allocations
 
 
--- a/tests/workers/test_lease_delegate.py
+++ b/tests/workers/test_lease_delegate.py
@@ -62,6 +62,14 @@
     assert asyncio.run(follower.renew_lease(heartbeat())) is None
 
 
+def test_a_token_that_the_known_leader_has_raised_is_accepted_and_never_lowered(follower: LeaseDelegate):
+    """A worker would drop a response with a lower token than it has seen, and its lease would run out."""
+    follower.watched_revision = lambda: 9
+    assert asyncio.run(follower.renew_lease(heartbeat(token=10))) is None, "it may come from a later leader"
+    assert asyncio.run(follower.renew_lease(heartbeat(token=9))) == []
+    assert follower.response_token(heartbeat(token=9)) == 9 and follower.response_token(heartbeat(token=3)) == 7
+
+
 def test_renewals_end_with_the_session_lease(follower: LeaseDelegate, clock: FakeClock):
     asyncio.run(follower.renew_lease(heartbeat()))
     assert follower.covers("vm-1") and not follower.covers("vm-2")
