--- a/hookwall/scheduling/quotas.py
+++ b/hookwall/scheduling/quotas.py
@@ -7,7 +7,7 @@
 from hookwall.jobs.job import OPEN, Job
 from hookwall.jobs.job_table import JobTable
 from hookwall.scheduling.round_state import ResourceUsage, RoundState
-from hookwall.workers.resources import CAPACITY_TOLERANCE, ROUNDING_TOLERANCE, countable_amount
+from hookwall.workers.resources import ROUNDING_TOLERANCE, countable_amount
 
 
 class Quotas:
@@ -45,12 +45,21 @@
         assert spec is not None
         count = job.task_count
         if team.gpus_max and spec.gpus > 0:
-            count = min(count, int((team.gpus_max - usage.gpus + CAPACITY_TOLERANCE) / countable_amount(spec.gpus)))
+            count = min(count, _tasks_within(team.gpus_max - usage.gpus, spec.gpus))
         if team.cpus_max and spec.cpus > 0:
-            count = min(count, int((team.cpus_max - usage.cpus + CAPACITY_TOLERANCE) / countable_amount(spec.cpus)))
+            count = min(count, _tasks_within(team.cpus_max - usage.cpus, spec.cpus))
         return max(0, count)
 
 
+def _tasks_within(unused: float, per_task: float) -> int:
+    """Return how many tasks fit into the unused part of a limit, apart from rounding errors.
+
+    The tolerance is smaller than that of free capacity: a limit is a promise to users, and many tasks that each take
+    less than the tolerance must not exceed it together.
+    """
+    return int((unused + ROUNDING_TOLERANCE) / countable_amount(per_task))
+
+
 def _covers(team: TeamQuota, usage: ResourceUsage) -> bool:
     """Return whether the team's guarantee covers this usage; a resource without a configured guarantee is covered."""
     if team.gpus and usage.gpus > team.gpus + ROUNDING_TOLERANCE:
--- a/tests/harness/frozen_process.py
+++ b/tests/harness/frozen_process.py
@@ -29,5 +29,8 @@
         error = None
         try:
             yield awaited
+        except GeneratorExit:
+            coroutine.close()  # the task was destroyed; its coroutine may have ended already
+            raise
         except BaseException as raised:
             error = raised
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -31,6 +31,25 @@
     assert len(a.allocations) + len(b.allocations) == 16
 
 
+@pytest.mark.parametrize("cards", [1e-7, 2e-9])
+def test_tiny_tasks_do_not_exceed_a_teams_limit_together(cluster: Cluster, cards):
+    """The tolerance for rounding errors in free capacity was granted beyond the limit."""
+    send_heartbeats(cluster, "vm-1", "vm-2", "vm-3", "vm-4", "vm-5")
+    cluster.submit(1, owner="red", pieces=16)
+    tiny = cluster.submit(2, owner="red", pieces=5, cards=cards)
+    cluster.scheduler.run_round()
+    assert not tiny.allocations
+
+
+def test_a_limit_of_many_fractions_is_used_whole(cluster: Cluster):
+    send_heartbeats(cluster, "vm-1", "vm-2", "vm-3", "vm-4", "vm-5")
+    jobs = [cluster.submit(n, owner="red", pieces=1, cards=0.1, cores=0.1, memGb=0.1) for n in range(1, 161)]
+    for _ in range(4):
+        cluster.scheduler.run_round()
+        cluster.store()
+    assert sum(len(job.allocations) for job in jobs) == 160
+
+
 def test_no_job_is_placed_while_it_is_unknown_what_another_jobs_record_admits(cluster: Cluster):
     """Guards against a start that takes what a void decision about another job seemed to release."""
     send_heartbeats(cluster, "vm-1")
