--- a/hookwall/workers/fleet.py
+++ b/hookwall/workers/fleet.py
@@ -6,7 +6,8 @@
 
 - the worker reports the task as exited, or
 - the worker is in a later epoch than the one in which the start was decided, or
-- a heartbeat that is newer than the launch and carries the leader's fencing token does not report the task, or
+- a heartbeat that is newer than the launch does not report the task, and carries a token of the leader that is higher
+  than that of the launch, or
 - the cloud has confirmed the deletion of the machine with status 200, or
 - no node can have answered the worker for longer than its lease, clock drift and a margin. This covers the current
   leader, earlier leaders, and followers that renew leases on behalf of the leader (see `lease_delegate`).
