A refused write does not settle an earlier one that may still be executed

A job that was unsettled after a write without a response was settled by the next write that the store refused, although the earlier one could still be executed. And a job whose record can't be encoded stayed unsettled, and no round decided anything. Result: two new tests in `test_job_writer`.

--- a/hookwall/jobs/job_table.py
+++ b/hookwall/jobs/job_table.py
@@ -190,13 +190,14 @@
         elif job.has_unsaved_changes:
             self.revert_job(job)
 
-    def finish_write(self, job: Job, outcome_known: bool) -> None:
-        """Revert a job to its stored state after a write, if decisions became void while the write was under way."""
-        if not self.unsettled_writes.concerns(job):
-            return
-        self.revert_job(job)
-        if outcome_known:
-            self.unsettled_writes.settle(job)
+    def finish_write(self, job: Job, may_be_executed: bool) -> None:
+        """Revert a job to its stored state after a write, if decisions became void while the write was under way.
+
+        `may_be_executed`: whether the write has ended without a response, so that it may be executed late.
+        """
+        if self.unsettled_writes.concerns(job):
+            self.revert_job(job)
+            self.unsettled_writes.finish(job, may_be_executed)
 
     def unsettled_jobs(self) -> list[Job]:
         """The jobs whose stored state is not known; until there are none, no decision may be made for any job."""
--- a/hookwall/jobs/job_writer.py
+++ b/hookwall/jobs/job_writer.py
@@ -182,6 +182,7 @@
             write = self._prepare(job)
             if write is None:
                 job.unsaved_since = self.clock()
+                self.table.unsettled_writes.give_up(job)
                 continue
             changes += write.change_count()
             transaction_bytes += write.total_bytes()
@@ -261,7 +262,7 @@
                 self._confirm(write, outcome.version)
             else:
                 self._restore(write)
-            self.table.finish_write(job, outcome_known=not outcome.may_be_executed)
+            self.table.finish_write(job, outcome.may_be_executed)
         if job.deferred_record is not None:
             deferred = job.deferred_record
             job.deferred_record = None
--- a/tests/jobs/test_job_writer.py
+++ b/tests/jobs/test_job_writer.py
@@ -15,6 +15,7 @@
 from hookwall.jobs.job_table import JobTable
 from hookwall.jobs.job_writer import JobWriter
 from hookwall.jobs.start_record_budget import BYTES_PER_MACHINE, BYTES_PER_START
+from hookwall.jobs.write_batch import PendingWrite
 from hookwall.leadership.roles import Role
 from hookwall.protocol.job_messages import JobSpec
 from hookwall.storage import keys
@@ -208,6 +209,32 @@
     assert machines(leading_writer) == ["vm-2" if executed_late else "vm-1"], "what the store contains"
 
 
+def test_a_refused_write_does_not_settle_an_earlier_one_that_may_still_be_executed(
+    leading_writer: JobWriter, store: ScriptedStore
+):
+    job = leading_writer.table.jobs["run-000002"]
+    make_void_during_commit(leading_writer, store, lambda: None)
+    for mode in ("request_lost", "down"):
+        store.mode = mode
+        write(leading_writer)
+        assert leading_writer.table.unsettled_jobs() == [job]
+    store.mode = "ok"
+    write(leading_writer)
+    assert not leading_writer.table.unsettled_jobs() and machines(leading_writer) == ["vm-1"]
+
+
+def test_a_job_that_cannot_be_encoded_does_not_stay_unsettled(
+    leading_writer: JobWriter, store: ScriptedStore, monkeypatch: pytest.MonkeyPatch
+):
+    """No round decides anything while a job is unsettled, so one such job would stop all others."""
+    make_void_during_commit(leading_writer, store, lambda: None)
+    store.mode = "request_lost"
+    write(leading_writer)
+    monkeypatch.setattr(PendingWrite, "prepare", lambda *_: 1 / 0)
+    write(leading_writer)
+    assert not leading_writer.table.unsettled_jobs()
+
+
 async def reload_from(writer: JobWriter, store: ScriptedStore, key: str) -> None:
     """Apply the record as the store contains it."""
     writer.table.apply_record(key, *store.keys[key])
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -58,7 +58,7 @@
     cluster.table.revert_unsaved()
     assert not cluster.scheduler.run_round() and not waiting.allocations
     unsettled.write_in_flight = False
-    cluster.table.finish_write(unsettled, outcome_known=True)
+    cluster.table.finish_write(unsettled, may_be_executed=False)
     cluster.scheduler.run_round()
     assert waiting.allocations
 
