Test: odd records that an earlier version accepted stop no other job, before and after a change of leader

Need: a record stays in the store, so that neither a restart nor another leader helps; some can't be read at all. Change: four records, with amounts near 0 (with and without a team's limit), one beyond the range that is accepted now, one malformed.

--- a/tests/cluster/test_odd_jobs.py
+++ b/tests/cluster/test_odd_jobs.py
@@ -56,6 +56,29 @@
     play(scenario, machines=machines)
 
 
+@pytest.mark.parametrize(
+    "changes", [{"cores": 6.9e-310}, {"cards": 5e-324, "owner": "red"}, {"cores": 1e300}, {"on": 7}]
+)
+def test_a_record_that_an_earlier_version_accepted_stops_no_other_job(changes):
+    """An odd record is stored, so that neither a restart nor another leader helps; some can't even be read."""
+
+    async def scenario(simulation: Simulation) -> None:
+        odd = simulation.define_job(ODD, run_s=20.0, pieces=2, **{k: v for k, v in changes.items() if k != "on"})
+        spec = {name: value for name, value in simulation.jobs[odd].spec.items() if value is not None}
+        on = changes.get("on", [])
+        simulation.put_record(odd, {"phase": "open", "n": 2, "next": 1, "on": on, "spec": spec, "at": 1.0, "done": ""})
+        sound = simulation.define_job(SOUND, run_s=20.0, pieces=2)
+        await submit_all(simulation, sound)
+        await simulation.wait_until_running(sound, 20.0)
+        simulation.crash(simulation.current_leader_name())
+        await simulation.wait_for_leader()
+        later = simulation.define_job(LATER, run_s=20.0)
+        await submit_all(simulation, later)
+        await simulation.wait_until_running(later, 20.0)
+
+    play(scenario, machines=2)
+
+
 def fail_for_odd_job(function, job_id_of):
     """Wrap a function so that it raises an error for the odd job."""
 
