--- a/tests/cluster/test_late_copies.py
+++ b/tests/cluster/test_late_copies.py
@@ -153,6 +153,25 @@
     play(scenario)
 
 
+def test_a_copy_of_a_launch_starts_nothing_in_a_later_session_of_its_worker():
+    """The lease has ended, so the task was moved without an exit, and the token is the same as before."""
+
+    async def scenario(simulation: Simulation) -> None:
+        job_id, worker, launches = await start_job(simulation, **WHOLE_MACHINE)
+        epoch, token = worker.epoch, worker.fencing_token
+        worker.loses_heartbeats = True
+        await simulation.wait_until(lambda: worker.epoch > epoch, 20.0, "the lease does not end")
+        await simulation.wait_until_running(job_id)
+        assert machine_with(simulation, job_id) is not worker
+        assert worker.fencing_token == token, "only the session drops the copies"
+        await assert_copies_start_nothing(simulation, worker, launches)
+        worker.loses_heartbeats = False
+        await asyncio.sleep(4.0)
+        await assert_copies_start_nothing(simulation, worker, launches)
+
+    play(scenario)
+
+
 def test_copies_of_a_followers_responses_start_nothing_and_its_responses_are_not_dropped():
     """A follower that renews a lease must not answer with a lower token than the leader that raised it."""
 
