--- a/hookwall/workers/task_exits.py
+++ b/hookwall/workers/task_exits.py
@@ -81,6 +81,6 @@
 
 
 def _reserve_for_next_attempt(machine: Machine, job: Job) -> None:
-    """Reserve a machine that has the image for the gang's next attempt, unless another job was has it reserved."""
+    """Reserve a machine that has the image for the gang's next attempt, unless it is reserved for another job."""
     if machine.phase is MachinePhase.UP and not machine.reserved_for:
         machine.reserved_for = job.job_id
--- a/hookwall/workers/task_reconciliation.py
+++ b/hookwall/workers/task_reconciliation.py
@@ -71,7 +71,7 @@
             allocation.launch_token = machine.launch_token = self.fleet.tokens.current(machine)
         return commands
 
-    def _apply_report(self, machine: Machine, report: "ReportedTask", commands: list[Command], now: float) -> bool:
+    def _apply_report(self, machine: Machine, report: ReportedTask, commands: list[Command], now: float) -> bool:
         """Apply the report of one task; return False if the worker may forget the task, as nothing names it."""
         status = report.status
         if status.phase == "exited":
--- a/tests/cluster/test_gang_fetches.py
+++ b/tests/cluster/test_gang_fetches.py
@@ -39,15 +39,6 @@
     )  # fmt: skip
 
 
-def machines_of(simulation: Simulation, job_id: str) -> list[FakeWorker]:
-    """Return the machines that have a task of the job which has not exited."""
-    return [
-        worker
-        for worker in simulation.workers.values()
-        if any(p.startswith(job_id) and t.phase != "exited" for p, t in worker.tasks.items())
-    ]
-
-
 def assert_long_fetches_kept(simulation: Simulation) -> None:
     """Assert the invariant: no machine that is up has given up a fetch that had lasted for `gang_wait_s`."""
     abandoned = [
@@ -74,7 +65,7 @@
         await simulation.submit_until_accepted(job_id)
         await simulation.wait_until_running(job_id, pieces * size_gb / gb_per_s)
         await asyncio.sleep(5.0)
-        lost = machines_of(simulation, job_id)[0]
+        lost = simulation.machines_with(job_id)[0]
         lost.power_off()
         await asyncio.sleep(2.0)
         fetch_s = size_gb / gb_per_s
@@ -107,10 +98,10 @@
         simulation.cloud.available_machines = 10
         job_id = define_gang(simulation, 3, 20.0, yard="east")
         await simulation.submit_until_accepted(job_id)
-        await simulation.wait_until(lambda: len(machines_of(simulation, job_id)) == 3, 10.0, "not launched")
+        await simulation.wait_until(lambda: len(simulation.machines_with(job_id)) == 3, 10.0, "not launched")
         for _ in range(2):
             await asyncio.sleep(lost_after_s)
-            machines = machines_of(simulation, job_id)
+            machines = simulation.machines_with(job_id)
             if machines and not any(t.phase == "running" for w in machines for t in w.tasks.values()):
                 machines[0].power_off()
         longest_fetch_s = 20.0 / 0.3
@@ -129,12 +120,12 @@
         east[0].image_fetches.cached.add(IMAGE)
         gang = define_gang(simulation, 2, 12.0, yard="east")
         await simulation.submit_until_accepted(gang)
-        await simulation.wait_until(lambda: len(machines_of(simulation, gang)) == 2, 10.0, "not launched")
+        await simulation.wait_until(lambda: len(simulation.machines_with(gang)) == 2, 10.0, "not launched")
         for number in range(2, 8):
             small = simulation.define_job(number, run_s=200.0, cards=4.0, yard="east", bundle="img-8", sizeGb=0.1)
             await simulation.submit_until_accepted(small)
         await simulation.wait_until_running(gang, 40.0 + RESTART_S)
-        assert {w.name for w in machines_of(simulation, gang)} == {w.name for w in east}
+        assert {w.name for w in simulation.machines_with(gang)} == {w.name for w in east}
 
     play(scenario, machines=4, workers=WORKERS)
 
@@ -148,7 +139,7 @@
         next(w for w in workers if w.zone == "east").image_fetches.cached.add(IMAGE)
         job_id = define_gang(simulation, 2, 12.0, yard="east")
         await simulation.submit_until_accepted(job_id)
-        await simulation.wait_until(lambda: len(machines_of(simulation, job_id)) == 2, 10.0, "not launched")
+        await simulation.wait_until(lambda: len(simulation.machines_with(job_id)) == 2, 10.0, "not launched")
         await asyncio.sleep(crash_after_s)
         leader = simulation.current_leader_name()
         simulation.crash(leader)
@@ -170,11 +161,11 @@
             worker.hung = True  # its workers send no heartbeat before the gang is placed on the slow machines
         await asyncio.sleep(8.0)
         await simulation.submit_until_accepted(job_id)
-        await simulation.wait_until(lambda: len(machines_of(simulation, job_id)) == 2, 10.0, "not launched")
+        await simulation.wait_until(lambda: len(simulation.machines_with(job_id)) == 2, 10.0, "not launched")
         for worker in workers[4:]:
             worker.hung = False
         await asyncio.sleep(2.0)
-        machine = machines_of(simulation, job_id)[0]
+        machine = simulation.machines_with(job_id)[0]
         for task_id, task in machine.tasks.items():
             machine.exit(task_id, task, "error")
         await asyncio.sleep(GANG_WAIT_S)
--- a/tests/cluster/test_late_copies.py
+++ b/tests/cluster/test_late_copies.py
@@ -16,15 +16,6 @@
 OBSERVED_S = 6.0  # how long nothing may start after the copies have arrived
 
 
-def machine_with(simulation: Simulation, job_id: str) -> FakeWorker:
-    """Return the machine that has a task of the job which has not exited."""
-    return next(
-        worker
-        for worker in simulation.workers.values()
-        if any(p.startswith(job_id) and t.phase != "exited" for p, t in worker.tasks.items())
-    )
-
-
 def knows(worker: FakeWorker, job_id: str) -> bool:
     """Whether a worker knows an attempt of the job, in whatever state."""
     return any(task_id.startswith(job_id) for task_id in worker.tasks)
@@ -38,7 +29,7 @@
     await simulation.wait_until_running(job_id)
     launches: list[tuple[str, str, int]] = []
     simulation.on_launch.append(lambda worker, task_id, attempt: launches.append((worker.name, task_id, attempt)))
-    return job_id, machine_with(simulation, job_id), launches
+    return job_id, simulation.machines_with(job_id)[0], launches
 
 
 async def end_task(simulation: Simulation, worker: FakeWorker, job_id: str, cause: str) -> None:
@@ -77,7 +68,7 @@
         machine.rejects_tasks_until = simulation.now() + 120.0
         await end_task(simulation, worker, job_id, cause)
         await simulation.wait_until_running(job_id)
-        assert machine_with(simulation, job_id) is not worker
+        assert simulation.machines_with(job_id)[0] is not worker
         await assert_copies_start_nothing(simulation, worker, launches)
 
     play(scenario)
@@ -162,7 +153,7 @@
         worker.loses_heartbeats = True
         await simulation.wait_until(lambda: worker.epoch > epoch, 20.0, "the lease does not end")
         await simulation.wait_until_running(job_id)
-        assert machine_with(simulation, job_id) is not worker
+        assert simulation.machines_with(job_id)[0] is not worker
         assert worker.fencing_token == token, "only the session drops the copies"
         await assert_copies_start_nothing(simulation, worker, launches)
         worker.loses_heartbeats = False
--- a/tests/harness/simulation.py
+++ b/tests/harness/simulation.py
@@ -294,13 +294,3 @@
             p.rpartition("/")[0] == job_id and t.attempt == attempt and t.phase in phases
             for w in self.workers.values() for p, t in w.tasks.items()
         )  # fmt: skip
-
-    # -- rules -----------------------------------------------------------------------------------
-
-    def count_tasks_on_machines(self, job_id: str) -> int:
-        """Return how many tasks of a job are on machines and have not ended."""
-        return sum(
-            p.rpartition("/")[0] == job_id and t.phase != "exited"
-            for w in self.workers.values()
-            for p, t in w.tasks.items()
-        )
--- a/tests/harness/users.py
+++ b/tests/harness/users.py
@@ -100,3 +100,21 @@
             )  # fmt: skip
 
         await self.wait_until(all_run, within_s, f"{job_id} is not running completely")
+
+    # -- tasks -----------------------------------------------------------------------------------
+
+    def machines_with(self, job_id: str) -> list[FakeWorker]:
+        """Return the machines that have a task of a job which has not exited."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if any(p.rpartition("/")[0] == job_id and t.phase != "exited" for p, t in worker.tasks.items())
+        ]
+
+    def count_tasks_on_machines(self, job_id: str) -> int:
+        """Return how many tasks of a job are on machines and have not ended."""
+        return sum(
+            p.rpartition("/")[0] == job_id and t.phase != "exited"
+            for w in self.workers.values()
+            for p, t in w.tasks.items()
+        )
